--- /dev/null
+++ b/crates/admission/src/policy.rs
@@ -0,0 +1,762 @@
+//! Every decision, table and tuned value of laurelhitch. It is called like a client library, on one thread:
+//! `place` (where to send this statement, or not yet, or never), `after` (what to do after this outcome; a
+//! progress note is one that leaves the relay out), `pause` (how long to wait). Facts are told in by `told_list`,
+//! `told_load` and `told_left`. The caller keeps statements and timers, and asks for the held ones again in the
+//! order of their `Place` on any change and when the pause is over. The values are in `interface.rs`; why the
+//! design is kept or extended, in docs/design.md. Each tuned value is a guess that a measured round has tried.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::interface::*;
+
+/// Weight of the newest observation in a fingerprint's smoothed CPU and estimate; the design's.
+const SMOOTH: f64 = 0.4;
+/// One outcome counts as at most this many times its prediction, so that a bad plan or a flush cannot close a
+/// whole table group; a true change still gets through in a few outcomes.
+const SURPRISE: f64 = 3.0;
+/// Fingerprints kept; the one unused longest goes first.
+const FINGERPRINTS: usize = 512;
+/// A bucket holds this many seconds of its refill.
+const BURST_S: f64 = 2.0;
+/// Latency per CPU second up to this many times its best is near it.
+const NEAR: f64 = 1.6;
+/// Past this many times its best, an engine is jammed.
+const JAMMED: f64 = 2.4;
+/// Part of its hard limit that a statement may be held, in all waits between two relays.
+const HOLD: f64 = 0.08;
+/// Failures in a row that bench an engine.
+const FAILURES: u32 = 3;
+
+#[derive(Default)]
+struct Cost {
+    cpu: f64,
+    estimate: f64,
+    used: u64,
+}
+
+/// Predicts CPU seconds by fingerprint. Emptied by the eviction of the one unused longest.
+struct Costs {
+    prints: BTreeMap<(ProductId, GroupId), Cost>,
+    /// Slow mean of true CPU by product: the usual work, for cold engines and statements with no estimate.
+    usual: Vec<(f64, f64)>,
+    uses: u64,
+}
+
+impl Costs {
+    fn estimate(&self, s: &Statement) -> f64 {
+        s.estimate.map(Span::secs).filter(|e| *e > 0.0).unwrap_or(1.0)
+    }
+
+    /// An unseen fingerprint borrows the others' median k. Estimates lie too high or low by product, so those of
+    /// the same product come first.
+    fn predict(&self, s: &Statement) -> f64 {
+        let k = match self.prints.get(&(s.product, s.group)) {
+            Some(cost) => cost.cpu / cost.estimate,
+            None => {
+                let all = |own: bool| -> Vec<f64> {
+                    let of = self.prints.iter().filter(|(print, _)| !own || print.0 == s.product);
+                    of.map(|(_, cost)| cost.cpu / cost.estimate).collect()
+                };
+                let own = all(true);
+                median(if own.is_empty() { all(false) } else { own }).unwrap_or(1.0)
+            }
+        };
+        (self.estimate(s) * k).clamp(1e-4, 1e5)
+    }
+
+    fn learn(&mut self, s: &Statement, predicted: f64, cpu: f64) {
+        let estimate = self.estimate(s);
+        let fresh = self.prints.values().filter(|c| c.used > 0).count() == 0;
+        let seen = if fresh { cpu } else { cpu.min(predicted * SURPRISE) }.max(1e-5);
+        self.uses += 1;
+        let cost = self.prints.entry((s.product, s.group)).or_default();
+        let weight = if cost.used == 0 { 1.0 } else { SMOOTH };
+        cost.cpu += weight * (seen - cost.cpu);
+        cost.estimate += weight * (estimate - cost.estimate);
+        cost.used = self.uses;
+        let (mean, seen) = &mut self.usual[s.product.0];
+        *seen = (*seen + 1.0).min(200.0);
+        *mean += (cpu.min(1e4) - *mean) / *seen;
+        if self.prints.len() > FINGERPRINTS {
+            let oldest = self.prints.iter().min_by_key(|(_, c)| c.used).map(|(print, _)| *print);
+            oldest.map(|print| self.prints.remove(&print));
+        }
+    }
+}
+
+fn median(mut of: Vec<f64>) -> Option<f64> {
+    of.sort_by(f64::total_cmp);
+    of.get(of.len() / 2).copied()
+}
+
+/// Latency per CPU second, weighted by CPU so that light statements in front cannot hide a jam behind them.
+#[derive(Default)]
+struct Lag {
+    latency: f64,
+    cpu: f64,
+    best: Option<f64>,
+    at: Option<Moment>,
+}
+
+impl Lag {
+    const MEMORY_S: f64 = 3.0;
+    /// Less CPU than this says nothing.
+    const ENOUGH_S: f64 = 0.3;
+    /// The best is forgotten at this rate, or one lucky spell would look like a jam for ever after.
+    const FORGET_PER_S: f64 = 0.005;
+
+    fn saw(&mut self, now: Moment, thread_s: f64, cpu: f64) {
+        let gone = self.at.map_or(0.0, |at| (now - at).secs().max(0.0));
+        let keep = (-gone / Self::MEMORY_S).exp();
+        self.at = Some(now);
+        self.latency = self.latency * keep + thread_s;
+        self.cpu = self.cpu * keep + cpu;
+        self.best = self.best.map(|best| best * (1.0 + Self::FORGET_PER_S * gone));
+        if self.cpu > 8.0 * Self::ENOUGH_S {
+            let seen = self.latency / self.cpu;
+            self.best = Some(self.best.map_or(seen, |best| best.min(seen)));
+        }
+    }
+
+    fn now(&self) -> Option<f64> {
+        (self.cpu > Self::ENOUGH_S).then(|| self.latency / self.cpu)
+    }
+}
+
+/// Judged by failures in a row and by silence past when something was due.
+#[derive(Default)]
+struct Health {
+    failures: u32,
+    due: Option<Moment>,
+    benched_until: Option<Moment>,
+    bench: f64,
+    trial: Option<StatementId>,
+}
+
+struct Engine {
+    fact: EngineFact,
+    cores: f64,
+    /// CPU seconds left by product.
+    left: Vec<f64>,
+    filled: Moment,
+    bound: f64,
+    cut: Moment,
+    threads: f64,
+    out: u32,
+    /// Threads of timed-out relays that may still run; emptied as their predicted end passes.
+    ghosts: Vec<(Moment, f64)>,
+    lag: Lag,
+    health: Health,
+    /// What may still be sent while cold, in usual CPU seconds.
+    cold_left: f64,
+}
+
+impl Engine {
+    fn running(&self) -> f64 {
+        self.threads + self.ghosts.iter().map(|g| g.1).sum::<f64>()
+    }
+
+    /// Failed answers in a row, or none when one was due, take the engine out for a spell that doubles.
+    fn bench(&mut self, now: Moment) {
+        self.health.bench = (self.health.bench * 2.0).clamp(1.0, 8.0);
+        self.health.benched_until = Some(now + Span::from_secs(self.health.bench));
+        self.health.trial = None;
+        self.health.due = None;
+    }
+
+    fn heard(&mut self, now: Moment, pace: f64) {
+        self.health.due = (self.out > 0).then(|| now + Span::from_secs(pace));
+    }
+}
+
+/// Rule 5: what is in hand under one key, oldest first. A key leaves once nothing is in hand and it has rested.
+#[derive(Default)]
+struct Turn {
+    line: VecDeque<(StatementId, bool)>,
+    out: Option<StatementId>,
+    rest_until: Option<Moment>,
+}
+
+/// Rule 7, and the module's own limit: counts by slice of a window, so that it holds no entry a statement.
+struct Spent {
+    slices: VecDeque<(i64, f64, f64)>,
+    slice_s: f64,
+}
+
+impl Spent {
+    const SLICES: i64 = 20;
+
+    fn new(window: Span) -> Self {
+        Spent { slices: VecDeque::new(), slice_s: (window.secs() / Self::SLICES as f64).max(1e-3) }
+    }
+
+    fn slice(&mut self, now: Moment) -> &mut (i64, f64, f64) {
+        let at = ((now - Moment::from_secs(0.0)).secs() / self.slice_s).floor() as i64;
+        while self.slices.front().is_some_and(|s| s.0 < at - Self::SLICES) {
+            self.slices.pop_front();
+        }
+        if self.slices.back().is_none_or(|s| s.0 < at) {
+            self.slices.push_back((at, 0.0, 0.0));
+        }
+        self.slices.back_mut().expect("just pushed")
+    }
+
+    /// The oldest slice lies partly outside the window: its relays count, its statements do not.
+    fn room(&mut self, now: Moment, free: f64, share: f64) -> bool {
+        let at = self.slice(now).0;
+        let relays: f64 = self.slices.iter().map(|s| s.2).sum();
+        let taken: f64 = self.slices.iter().filter(|s| s.0 > at - Self::SLICES).map(|s| s.1).sum();
+        relays + 1.0 <= free + share * taken
+    }
+}
+
+/// The engine list: asked for again when a call failed or the answer stays away.
+struct List {
+    terms: Listing,
+    asked: Option<Moment>,
+    every: f64,
+}
+
+struct Tenant {
+    left: f64,
+    at: Option<Moment>,
+}
+
+pub struct Policy {
+    rng: Pcg64Mcg,
+    products: Vec<Product>,
+    /// Smoothed predicted CPU seconds a second by product, and its share of each engine.
+    demand: Vec<(f64, f64)>,
+    demand_at: Option<Moment>,
+    tenancy: Tenancy,
+    tenants: Vec<Tenant>,
+    fleet: Fleet,
+    cold: Option<ColdStart>,
+    relaying: Relaying,
+    costs: Costs,
+    engines: BTreeMap<EngineId, Engine>,
+    turns: BTreeMap<OrderKey, Turn>,
+    rationed: Option<Spent>,
+    spent: Spent,
+    list: List,
+}
+
+impl Policy {
+    pub fn new(
+        seed: u64,
+        products: Vec<Product>,
+        tenancy: Tenancy,
+        fleet: Fleet,
+        cold: Option<ColdStart>,
+        relaying: Relaying,
+        listing: Listing,
+    ) -> Self {
+        let share = 1.0 / products.len().max(1) as f64;
+        Policy {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            demand: vec![(0.0, share); products.len()],
+            demand_at: None,
+            tenants: tenancy.allowances.iter().map(|a| Tenant { left: *a, at: None }).collect(),
+            costs: Costs { prints: BTreeMap::new(), usual: vec![(0.0, 0.0); products.len()], uses: 0 },
+            engines: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            rationed: relaying.ration.map(|r| Spent::new(r.window)),
+            spent: Spent::new(Span::from_secs(10.0)),
+            list: List { terms: listing, asked: None, every: 0.0 },
+            products,
+            tenancy,
+            fleet,
+            cold,
+            relaying,
+        }
+    }
+
+    /// Where to send this statement. The first ask takes it and gives its place in line.
+    pub fn place(&mut self, now: Moment, s: &Statement) -> Answer {
+        let Some(place) = s.place else {
+            return Answer::NotYet(self.take(now, s));
+        };
+        if s.relays.iter().any(|r| r.state == RelayState::Out) {
+            return Answer::NotYet(place);
+        }
+        let product = &self.products[s.product.0];
+        let predicted = self.costs.predict(s);
+        let left = (s.hard_limit - now).secs();
+        // An answer that comes when it earns nothing only takes cores from those that still can.
+        let best = median(self.engines.values().filter_map(|e| e.lag.best).collect()).unwrap_or(1.0);
+        let alone = predicted / product.threads * best;
+        let quoted = product.quoted.secs() + product.quoted_stretch * predicted / product.threads;
+        let useful = if product.late_gain > 0.0 { left } else { left.min(quoted - (now - s.taken).secs()) };
+        if left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || alone * 0.7 > useful {
+            return self.give_up(s);
+        }
+        let (hold, turn) = (product.hard_limit.secs() * HOLD, self.in_turn(now, s));
+        let retry = !s.relays.is_empty();
+        if retry && !self.may_relay_again(now) {
+            return self.give_up(s);
+        }
+        if turn && let Some(id) = self.choose(now, s, place, predicted) {
+            return self.send(now, s, id, predicted);
+        }
+        // A statement that waits for its key's turn keeps waiting: its place there is worth more than an early no.
+        let held = (now - s.held_since).secs();
+        if (turn && held >= hold) || left < 0.05 { self.give_up(s) } else { Answer::NotYet(place) }
+    }
+
+    /// What to do after this outcome.
+    pub fn after(&mut self, now: Moment, s: &Statement, o: &Outcome) -> After {
+        let Some(relay) = s.relays.get(o.relay.0 as usize) else { return After::Stay };
+        let (product, predicted) = (&self.products[s.product.0], self.costs.predict(s));
+        let (threads, charge) = (product.threads, relay.charge.secs());
+        let pace = self.fleet.note_pace.map_or(3.0 * predicted + 1.0, |p| p.secs() * 1.25 + 0.3);
+        let Some(engine) = self.engines.get_mut(&relay.engine) else {
+            return self.next(now, s, o);
+        };
+        match o.news {
+            News::Progress(_) | News::Strained | News::Streaming => {
+                engine.heard(now, pace);
+                return self.noted(now, s, relay, o);
+            }
+            _ => {
+                engine.threads = (engine.threads - threads).max(0.0);
+                engine.out = engine.out.saturating_sub(1);
+            }
+        }
+        let tried = engine.health.trial == Some(s.id);
+        match o.news {
+            News::Completed { cpu } => {
+                engine.heard(now, pace);
+                engine.health = Health { due: engine.health.due, ..Health::default() };
+                let true_cpu = cpu.map_or(charge, Span::secs);
+                engine.left[s.product.0] += charge - true_cpu;
+                engine.lag.saw(now, o.latency.secs() * threads, true_cpu);
+                widen_or_shrink(engine, now, threads);
+                if let Some(cpu) = cpu {
+                    self.costs.learn(s, charge, cpu.secs());
+                }
+            }
+            News::TurnedAway | News::NeverSent => {
+                engine.heard(now, pace);
+                engine.left[s.product.0] += charge;
+                if o.news == News::TurnedAway {
+                    engine.bound = (engine.bound * 0.8).max(1.0);
+                    engine.cut = now;
+                }
+            }
+            // The charge stays: an engine that fails fast would otherwise look the emptiest and draw the rest.
+            News::Error | News::Reset | News::Unreachable => {
+                engine.heard(now, pace);
+                engine.health.failures += 1;
+            }
+            // It may still hold its threads where the engine does not heed us.
+            News::TimedOut | News::Cancelled => {
+                if !self.relaying.cancel {
+                    engine.ghosts.push((now + Span::from_secs(predicted / threads), threads));
+                }
+                if o.news == News::TimedOut && engine.health.due.is_some_and(|due| due <= now) {
+                    engine.health.failures += 1;
+                }
+            }
+            _ => {}
+        }
+        if engine.health.failures >= FAILURES || (tried && engine.health.failures > 0) {
+            engine.health.failures = 0;
+            engine.bench(now);
+        } else if tried {
+            engine.health.trial = None;
+        }
+        self.next(now, s, o)
+    }
+
+    /// How long to wait before the held ones are asked again, and what to do meanwhile.
+    pub fn pause(&mut self, now: Moment, held: usize) -> Pause {
+        self.share_out(now);
+        for engine in self.engines.values_mut() {
+            engine.ghosts.retain(|g| g.0 > now);
+        }
+        self.turns
+            .retain(|_, t| !t.line.is_empty() || t.out.is_some() || t.rest_until.is_some_and(|r| r > now));
+        let (list, again) = self.ask_list(now);
+        let wait = if held > 0 { 0.02 } else { 0.25_f64.min(again) };
+        Pause { wait: Span::from_secs(wait), probe: Vec::new(), list }
+    }
+
+    /// The engine list, whole or in changes.
+    pub fn told_list(&mut self, now: Moment, news: &ListNews) {
+        self.list.every = 0.0;
+        let facts = match news {
+            ListNews::Failed => {
+                self.list.every = 0.5;
+                self.list.asked = Some(now);
+                return;
+            }
+            ListNews::Changes(facts) => facts,
+            ListNews::Whole(facts) => {
+                for engine in self.engines.values_mut() {
+                    engine.fact.stage = Stage::Gone;
+                }
+                facts
+            }
+        };
+        let products = self.products.len();
+        for fact in facts {
+            let scale = if fact.scale > 0.0 && fact.scale.is_finite() { fact.scale } else { 1.0 };
+            // Untold cores: the list's sizes still compare engines; eight cores are a plain machine.
+            let told = self.fleet.cores.get(fact.machine.0 as usize).copied().filter(|c| *c > 0.0);
+            let cores = told.unwrap_or(8.0 * scale);
+            let known = self.engines.get(&fact.id).filter(|e| e.fact.started == fact.started);
+            if known.is_none() {
+                let out = self.engines.get(&fact.id).map_or((0.0, 0), |e| (e.threads, e.out));
+                let engine = Engine {
+                    fact: *fact,
+                    cores,
+                    left: vec![f64::INFINITY; products],
+                    filled: now,
+                    bound: (cores / self.fleet.peers).max(1.0),
+                    cut: now,
+                    threads: out.0,
+                    out: out.1,
+                    ghosts: Vec::new(),
+                    lag: Lag::default(),
+                    health: Health::default(),
+                    cold_left: 0.0,
+                };
+                self.engines.insert(fact.id, engine);
+            }
+            if let Some(engine) = self.engines.get_mut(&fact.id) {
+                engine.fact = *fact;
+            }
+        }
+        // Gone engines leave once their last relay is over.
+        self.engines.retain(|_, e| e.fact.stage != Stage::Gone || e.out > 0);
+    }
+
+    pub fn told_load(&mut self, _now: Moment, _engine: EngineId, _report: &LoadReport) {}
+
+    /// The client has left: nothing is owed, and its turn passes on.
+    pub fn told_left(&mut self, s: &Statement) {
+        self.over(s);
+    }
+
+    fn take(&mut self, now: Moment, s: &Statement) -> Place {
+        let predicted = self.costs.predict(s);
+        let gone = self.demand_at.map_or(0.0, |at| (now - at).secs());
+        self.demand_at = Some(now);
+        for demand in &mut self.demand {
+            demand.0 *= (-gone / 5.0).exp();
+        }
+        self.demand[s.product.0].0 += predicted / 5.0;
+        self.spent.slice(now).1 += 1.0;
+        if let Some(spent) = &mut self.rationed {
+            spent.slice(now).1 += 1.0;
+        }
+        if let Some(key) = s.key.filter(|_| self.products[s.product.0].in_turn) {
+            self.turns.entry(key).or_default().line.push_back((s.id, false));
+        }
+        let mut over_allowance = false;
+        if let Some(tenant) = self.tenants.get_mut(s.tenant.0) {
+            let rate = self.tenancy.allowances[s.tenant.0] / self.fleet.peers;
+            let gone = tenant.at.map_or(0.0, |at| (now - at).secs());
+            tenant.at = Some(now);
+            tenant.left = (tenant.left + gone * rate).min(rate.max(1.0));
+            over_allowance = rate > 0.0 && tenant.left < 1.0;
+            if !over_allowance {
+                tenant.left -= 1.0;
+            }
+        }
+        Place { by: s.hard_limit, id: s.id, over_allowance }
+    }
+
+    /// Shares follow predicted demand, the best gain per CPU second first: pressure falls on heavy work.
+    fn share_out(&mut self, now: Moment) {
+        let gone = self.demand_at.map_or(0.0, |at| (now - at).secs());
+        let ready = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
+        let capacity = ready.map(|e| e.cores).sum::<f64>() / self.fleet.peers;
+        let wanted: Vec<f64> = self.demand.iter().map(|d| d.0 * (-gone / 5.0).exp()).collect();
+        if capacity <= 0.0 || wanted.iter().sum::<f64>() <= 0.0 {
+            return;
+        }
+        let worth = |p: &usize| self.products[*p].gain / self.costs.usual[*p].0.max(1e-3);
+        let mut order: Vec<usize> = (0..wanted.len()).collect();
+        order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
+        let mut left = 1.0;
+        let mut shares = vec![0.0; wanted.len()];
+        for p in order {
+            shares[p] = (wanted[p] * 1.3 / capacity).min(left);
+            left -= shares[p];
+        }
+        let given: f64 = shares.iter().sum::<f64>().max(1e-6);
+        for (demand, share) in self.demand.iter_mut().zip(&shares) {
+            demand.1 = (share + left * share / given).max(0.02);
+        }
+    }
+
+    fn fill(&mut self, now: Moment) {
+        let best = median(self.engines.values().filter_map(|e| e.lag.best).collect());
+        for engine in self.engines.values_mut() {
+            let gone = (now - engine.filled).secs().max(0.0);
+            engine.filled = now;
+            engine.lag.best = engine.lag.best.or(best);
+            let own = engine.cores / self.fleet.peers;
+            let warmth = warmth(self.cold, engine, now);
+            // A slow engine burns as much CPU for longer: its refill shrinks with its bound.
+            let speed = (engine.bound / own).min(1.0) * warmth;
+            for (left, (_, share)) in engine.left.iter_mut().zip(&self.demand) {
+                let full = own * share * BURST_S * warmth;
+                *left = (*left + own * share * speed * gone).min(full);
+            }
+            if let Some(cold) = self.cold {
+                let rate = own * warmth * COLD_PART * cold.multiple;
+                engine.cold_left = (engine.cold_left + rate * gone).min(rate * cold.window.secs() * 0.5);
+            }
+        }
+    }
+
+    fn choose(&mut self, now: Moment, s: &Statement, place: Place, predicted: f64) -> Option<EngineId> {
+        self.fill(now);
+        let product = &self.products[s.product.0];
+        let p = s.product.0;
+        let usual = self.costs.usual[p].0.max(predicted.min(1.0));
+        let listed = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
+        let (mut fit, mut all) = (Vec::new(), 0);
+        for engine in listed.filter(|e| allowed(product, s, e, now)) {
+            all += 1;
+            let health = &engine.health;
+            let silent = health.due.is_some_and(|due| due < now);
+            let benched = health.benched_until.is_some_and(|until| until > now);
+            let trying = health.benched_until.is_some() && health.trial.is_some();
+            if !(silent || benched || trying) {
+                fit.push(engine);
+            }
+        }
+        // Most of them bad at once is a common cause, or our own: benching would put the whole load on the rest.
+        if fit.len() * 2 < all {
+            let listed = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
+            fit = listed.filter(|e| allowed(product, s, e, now)).collect();
+        }
+        let mut best: Option<(f64, EngineId)> = None;
+        for engine in fit {
+            let own = engine.cores / self.fleet.peers;
+            let full = own * self.demand[p].1 * BURST_S * warmth(self.cold, engine, now);
+            let left = engine.left[p];
+            let near = match (engine.lag.now(), engine.lag.best) {
+                (Some(lag), Some(best)) => lag <= best * NEAR,
+                _ => true,
+            };
+            let afford = if place.over_allowance {
+                left >= predicted + full * 0.5
+            } else {
+                left >= predicted || left >= full * 0.99 || near
+            };
+            let cold_ok = warmth(self.cold, engine, now) >= 1.0 || engine.cold_left >= usual;
+            if !afford || !cold_ok || engine.running() >= engine.bound {
+                continue;
+            }
+            // One that just failed this statement comes last.
+            let again = s.relays.iter().any(|r| r.engine == engine.fact.id);
+            let score =
+                left / full.max(1e-9) - if again { 1e3 } else { 0.0 } + self.rng.random::<f64>() * 0.01;
+            if best.is_none_or(|(most, _)| score > most) {
+                best = Some((score, engine.fact.id));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    fn send(&mut self, now: Moment, s: &Statement, id: EngineId, predicted: f64) -> Answer {
+        let product = &self.products[s.product.0];
+        let usual = self.costs.usual[s.product.0].0.max(predicted.min(1.0));
+        let pace = self.fleet.note_pace.map_or(f64::INFINITY, |p| p.secs() * 1.25 + 0.3);
+        let engine = self.engines.get_mut(&id).expect("chosen from the table");
+        engine.left[s.product.0] -= predicted;
+        engine.cold_left -= usual;
+        engine.threads += product.threads;
+        engine.out += 1;
+        let lag = engine.lag.now().unwrap_or(1.0);
+        let due = now + Span::from_secs((4.0 * predicted * lag / product.threads + 0.5).min(pace));
+        engine.health.due = Some(engine.health.due.map_or(due, |d| d.min(due)));
+        if engine.health.benched_until.is_some() {
+            engine.health.trial = Some(s.id);
+        }
+        if !s.relays.is_empty() {
+            self.spent.slice(now).2 += 1.0;
+            if let Some(spent) = &mut self.rationed {
+                spent.slice(now).2 += 1.0;
+            }
+        }
+        if let Some(turn) = s.key.and_then(|key| self.turns.get_mut(&key)) {
+            turn.out = Some(s.id);
+        }
+        let fact = engine.fact;
+        let relay = Relay {
+            engine: id,
+            location: fact.location,
+            cell: fact.cell,
+            sent: now,
+            charge: Span::from_secs(predicted),
+            state: RelayState::Out,
+        };
+        Answer::Send { relay, limit: None, rank: self.rank(s, predicted) }
+    }
+
+    /// Short quoted time first: the light ones hardly slow the heavy, the heavy would ruin the light.
+    fn rank(&self, s: &Statement, predicted: f64) -> Option<u8> {
+        if !self.fleet.ranks_heeded {
+            return None;
+        }
+        let quoted = |p: usize, cpu: f64| {
+            let product = &self.products[p];
+            product.quoted.secs() + product.quoted_stretch * cpu / product.threads
+        };
+        let total: f64 = self.demand.iter().map(|d| d.0).sum::<f64>().max(1e-9);
+        let usual: f64 = (0..self.products.len())
+            .map(|p| quoted(p, self.costs.usual[p].0) * self.demand[p].0 / total)
+            .sum();
+        let part = quoted(s.product.0, predicted) / usual.max(1e-9);
+        Some(if part < 0.5 {
+            3
+        } else if part < 0.8 {
+            2
+        } else if part < 1.6 {
+            1
+        } else {
+            0
+        })
+    }
+
+    fn noted(&mut self, now: Moment, s: &Statement, relay: &Relay, o: &Outcome) -> After {
+        let News::Progress(done) = o.news else { return After::Stay };
+        let product = &self.products[s.product.0];
+        let (elapsed, left) = ((now - relay.sent).secs(), (s.hard_limit - now).secs());
+        let lag = self.engines.get(&relay.engine).and_then(|e| e.lag.now()).unwrap_or(1.0).max(1.0);
+        let fresh = relay.charge.secs() / product.threads * lag;
+        let total = elapsed / done.clamp(0.001, 1.0);
+        let pays = total - elapsed > 2.0 * fresh && fresh * 1.3 < left && total > 3.5 * fresh;
+        let repeatable = product.effect == Effect::Idempotent && s.relays.len() < self.relaying.most;
+        if self.relaying.cancel && repeatable && pays && self.may_relay_again(now) {
+            return After::Cancel(o.relay);
+        }
+        After::Stay
+    }
+
+    fn next(&mut self, now: Moment, s: &Statement, o: &Outcome) -> After {
+        if let Some(key) = s.key
+            && let Some(turn) = self.turns.get_mut(&key)
+        {
+            turn.out = turn.out.filter(|id| *id != s.id);
+            if matches!(o.news, News::TimedOut | News::Reset | News::Cancelled) {
+                turn.rest_until = Some(now + self.relaying.settle);
+            }
+        }
+        if o.settled {
+            self.over(s);
+            return After::Over;
+        }
+        if (s.hard_limit - now).secs() < 0.03 || s.relays.len() >= self.relaying.most {
+            return match self.give_up(s) {
+                Answer::Deny { come_back } => After::Deny { come_back },
+                _ => After::Scrap,
+            };
+        }
+        After::Ask
+    }
+
+    fn over(&mut self, s: &Statement) {
+        if let Some(turn) = s.key.and_then(|key| self.turns.get_mut(&key)) {
+            turn.line.retain(|(id, _)| *id != s.id);
+        }
+    }
+
+    /// Rule 2: a denial says that trying again is harmless, so it needs proof.
+    fn give_up(&mut self, s: &Statement) -> Answer {
+        self.over(s);
+        let harmless = s.relays.iter().all(|r| r.state == RelayState::NeverRan)
+            || match self.products[s.product.0].effect {
+                Effect::Idempotent => true,
+                Effect::Deduplicated { group, .. } => group == RepeatGroup::All,
+                Effect::Unrepeatable => false,
+            };
+        if harmless { Answer::Deny { come_back: self.relaying.come_back } } else { Answer::Scrap }
+    }
+
+    fn in_turn(&self, now: Moment, s: &Statement) -> bool {
+        let Some(turn) = s.key.and_then(|key| self.turns.get(&key)) else { return true };
+        let first = turn.line.front().is_none_or(|(id, _)| *id == s.id);
+        let rested = turn.rest_until.is_none_or(|until| until <= now);
+        first && turn.out.is_none() && rested
+    }
+
+    /// Retries must not feed a jam, so beyond the stated ration the module sets one of its own.
+    fn may_relay_again(&mut self, now: Moment) -> bool {
+        let stated = match (&mut self.rationed, self.relaying.ration) {
+            (Some(spent), Some(ration)) => spent.room(now, ration.free, ration.share),
+            _ => true,
+        };
+        stated && self.spent.room(now, 5.0, 0.2)
+    }
+
+    fn ask_list(&mut self, now: Moment) -> (Option<ListAsk>, f64) {
+        let list = &mut self.list;
+        if !list.terms.on_request {
+            return (None, f64::INFINITY);
+        }
+        let Some(asked) = list.asked else {
+            list.asked = Some(now);
+            return (Some(ListAsk::Subscribe), 0.25);
+        };
+        // Spread by chance, or every gateway that lost its subscription would ask in the same instant.
+        if list.every > 0.0 && (now - asked).secs() >= list.every {
+            list.asked = Some(now);
+            list.every = (list.every * (1.5 + self.rng.random::<f64>())).min(list.terms.ask_within.secs());
+            return (Some(ListAsk::Subscribe), 0.25);
+        }
+        (None, 0.25)
+    }
+}
+
+/// Part of the multiple of a cold engine's present capacity that all gateways together may reach.
+const COLD_PART: f64 = 0.4;
+
+/// Rule 4 tells only where it starts and when it ends: the curve lies under the straight line between.
+fn warmth(cold: Option<ColdStart>, engine: &Engine, now: Moment) -> f64 {
+    let (Some(cold), Some(started)) = (cold, engine.fact.started) else { return 1.0 };
+    let age = (now - started).secs() / cold.warm_after.secs().max(1e-3);
+    if age >= 1.0 { 1.0 } else { cold.share + (1.0 - cold.share) * age.max(0.0).powi(2) }
+}
+
+/// Rules 2 and 6.
+fn allowed(product: &Product, s: &Statement, engine: &Engine, now: Moment) -> bool {
+    let fact = &engine.fact;
+    let placed = product.locations.as_ref().is_none_or(|of| of.contains(&fact.location))
+        && product.machines.as_ref().is_none_or(|of| of.contains(&fact.machine));
+    let Some(ran) = s.relays.iter().find(|r| r.state != RelayState::NeverRan) else { return placed };
+    placed
+        && match product.effect {
+            Effect::Idempotent => true,
+            Effect::Unrepeatable => false,
+            Effect::Deduplicated { group, remembered } => {
+                let same = match group {
+                    RepeatGroup::All => true,
+                    RepeatGroup::Location => fact.location == ran.location,
+                    RepeatGroup::Cell => fact.cell == ran.cell,
+                };
+                same && (now - ran.sent) < remembered
+            }
+        }
+}
+
+/// The thread bound follows latency per CPU second, and only an outcome that met the bound may widen it.
+fn widen_or_shrink(engine: &mut Engine, now: Moment, threads: f64) {
+    let (Some(lag), Some(best)) = (engine.lag.now(), engine.lag.best) else { return };
+    if lag <= best * NEAR {
+        if engine.running() + threads >= engine.bound * 0.7 {
+            engine.bound = (engine.bound + 0.5 * threads / engine.bound).min(engine.cores * 2.0);
+        }
+    } else if lag > best * JAMMED && (now - engine.cut).secs() > 0.5 {
+        engine.bound = (engine.bound * 0.85).max(1.0);
+        engine.cut = now;
+    }
+}
--- /dev/null
+++ b/crates/wirehost/src/settings.rs
@@ -0,0 +1,174 @@
+//! Reads the settings text of an `Attach` into what each part of the module takes.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use admission::interface::*;
+use admission::policy::Policy;
+use thiserror::Error;
+
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    #[error("settings: {0} is missing")]
+    Missing(String),
+    #[error("settings: {key} cannot be read: {value}")]
+    Unreadable { key: String, value: String },
+}
+
+/// The path=value pairs of one instance.
+pub struct Settings<'a>(BTreeMap<&'a str, &'a str>);
+
+impl<'a> Settings<'a> {
+    pub fn parse(text: &'a str) -> Self {
+        Settings(text.lines().filter_map(|line| line.trim().split_once('=')).collect())
+    }
+
+    fn may<T: FromStr>(&self, key: &str) -> Result<Option<T>, SettingsError> {
+        let Some(value) = self.0.get(key).filter(|v| !v.is_empty()) else { return Ok(None) };
+        let unreadable = |_| SettingsError::Unreadable { key: key.into(), value: (*value).into() };
+        value.parse().map(Some).map_err(unreadable)
+    }
+
+    fn need<T: FromStr>(&self, key: &str) -> Result<T, SettingsError> {
+        self.may(key)?.ok_or_else(|| SettingsError::Missing(key.into()))
+    }
+
+    fn number(&self, key: &str) -> Result<Option<f64>, SettingsError> {
+        match self.may::<f64>(key)? {
+            Some(n) if !n.is_finite() || n < 0.0 => {
+                Err(SettingsError::Unreadable { key: key.into(), value: n.to_string() })
+            }
+            n => Ok(n),
+        }
+    }
+
+    fn span(&self, key: &str) -> Result<Option<Span>, SettingsError> {
+        Ok(self.number(key)?.map(Span::from_secs))
+    }
+
+    fn need_span(&self, key: &str) -> Result<Span, SettingsError> {
+        self.span(key)?.ok_or_else(|| SettingsError::Missing(key.into()))
+    }
+
+    fn words(&self, key: &str) -> Vec<&str> {
+        let value = self.0.get(key).copied().unwrap_or("");
+        value.split(',').map(str::trim).filter(|w| !w.is_empty()).collect()
+    }
+
+    fn numbers(&self, key: &str) -> Result<Vec<f64>, SettingsError> {
+        let unreadable = |w: &str| SettingsError::Unreadable { key: key.into(), value: w.into() };
+        let number = |w: &str| w.parse().ok().filter(|n: &f64| n.is_finite()).ok_or_else(|| unreadable(w));
+        self.words(key).into_iter().map(number).collect()
+    }
+
+    /// Places come as numbers in list entries; a list of names is looked up among `names`.
+    fn places(&self, key: &str, names: &str) -> Result<Option<Vec<u16>>, SettingsError> {
+        if !self.0.contains_key(key) {
+            return Ok(None);
+        }
+        let names = self.words(names);
+        let place = |w: &str| {
+            let named = names.iter().position(|n| *n == w).map(|at| at as u16);
+            let unreadable = || SettingsError::Unreadable { key: key.into(), value: w.into() };
+            w.parse().ok().or(named).ok_or_else(unreadable)
+        };
+        self.words(key).into_iter().map(place).collect::<Result<_, _>>().map(Some)
+    }
+
+    fn product(&self, at: usize, threads: f64) -> Result<Product, SettingsError> {
+        let key = |name: &str| format!("Grades.{at}.{name}");
+        let effect = match self.need::<String>(&key("Effect"))?.as_str() {
+            "safe" => Effect::Idempotent,
+            "unsafe" => Effect::Unrepeatable,
+            "keyed" => Effect::Deduplicated {
+                group: match self.need::<String>(&key("KeyScope"))?.as_str() {
+                    "all" => RepeatGroup::All,
+                    "zone" => RepeatGroup::Location,
+                    "cell" => RepeatGroup::Cell,
+                    other => {
+                        return Err(SettingsError::Unreadable { key: key("KeyScope"), value: other.into() });
+                    }
+                },
+                remembered: self.need_span(&key("WindowS"))?,
+            },
+            other => return Err(SettingsError::Unreadable { key: key("Effect"), value: other.into() }),
+        };
+        let places = |name: &str, names: &str| self.places(&key(name), names);
+        Ok(Product {
+            effect,
+            gain: self.number(&key("Credit"))?.unwrap_or(1.0),
+            late_gain: self.number(&key("LateWorth"))?.unwrap_or(0.0),
+            quoted: self.need_span(&key("GoalTimeS"))?,
+            quoted_stretch: self.number(&key("AimStretch"))?.unwrap_or(0.0),
+            hard_limit: self.need_span(&key("GiveUpS"))?,
+            threads,
+            in_turn: self.may(&key("InTurn"))?.unwrap_or(false),
+            locations: places("ZonesOnly", "Zones")?.map(|of| of.into_iter().map(LocationId).collect()),
+            machines: places("MachineTypesAllowed", "MachineTypes")?
+                .map(|of| of.into_iter().map(MachineId).collect()),
+        })
+    }
+
+    /// Whether answers tell the work they took.
+    pub fn bills(&self) -> Result<bool, SettingsError> {
+        Ok(self.may("Extra.Bills")?.unwrap_or(false))
+    }
+
+    /// The order of the values in a load report.
+    pub fn report_fields(&self) -> Vec<String> {
+        self.words("Feedback.Fields").into_iter().map(String::from).collect()
+    }
+
+    pub fn policy(&self, seed: u64) -> Result<Policy, SettingsError> {
+        let threads = self.numbers("Extra.Parallelism")?;
+        let count: usize = self.need("Grades.count")?;
+        let thread = |at: usize| threads.get(at).copied().unwrap_or(1.0).max(1.0);
+        let products = (0..count).map(|at| self.product(at, thread(at))).collect::<Result<Vec<_>, _>>()?;
+        let tenants: usize = self.may("Tenants.count")?.unwrap_or(0);
+        let allowance = |at: usize| Ok(self.number(&format!("Tenants.{at}.AllowancePerS"))?.unwrap_or(0.0));
+        let tenancy = Tenancy {
+            allowances: (0..tenants).map(allowance).collect::<Result<_, SettingsError>>()?,
+            over_gain: self.number("OverShareWorth")?.unwrap_or(1.0),
+        };
+        let fleet = Fleet {
+            peers: self.need::<u32>("PeersTotal")?.max(1).into(),
+            cores: self.numbers("Extra.KindCores")?,
+            note_pace: self.span("Extra.ProgressPaceS")?.filter(|pace| *pace > Span::ZERO),
+            ranks_heeded: self.may("Extra.RanksHeeded")?.unwrap_or(false),
+        };
+        let cold = match self.number("Rules.StartCapacity")? {
+            None => None,
+            Some(share) => Some(ColdStart {
+                share,
+                warm_after: self.need_span("Rules.ColdS")?,
+                multiple: self.number("Rules.TipMultiple")?.unwrap_or(1.0),
+                window: self.span("Rules.TipAfterS")?.unwrap_or(Span::from_secs(1.0)),
+            }),
+        };
+        let ration = match self.span("Rules.ResendSpanS")? {
+            None => None,
+            Some(window) => Some(Ration {
+                free: self.number("Rules.ExtraFree")?.unwrap_or(0.0),
+                share: self.number("Rules.BudgetShare")?.unwrap_or(0.0),
+                window,
+            }),
+        };
+        let come_back = self.may("Limits.RetryAfter")?.unwrap_or(false);
+        let relaying = Relaying {
+            most: self.may("Limits.MaxAttempts")?.unwrap_or(1),
+            cancel: self.may("Limits.Cancel")?.unwrap_or(false),
+            come_back: self.span("Limits.MaxRetryAfterS")?.filter(|_| come_back),
+            settle: self.span("Rules.OrderSettleS")?.unwrap_or(Span::ZERO),
+            ration,
+        };
+        let listing = Listing {
+            on_request: self.may::<String>("Discovery")?.as_deref() == Some("on_request"),
+            ask_within: self.span("Rules.AskWithinS")?.unwrap_or(Span::from_secs(10.0)),
+        };
+        Ok(Policy::new(seed, products, tenancy, fleet, cold, relaying, listing))
+    }
+
+    pub fn products(&self) -> usize {
+        self.may("Grades.count").ok().flatten().unwrap_or(0)
+    }
+}
