--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -220,6 +220,13 @@
     every: f64,
 }
 
+/// Predicted CPU seconds and gain asked for a second, smoothed, and the product's share of each engine.
+struct Demand {
+    cpu: f64,
+    gain: f64,
+    share: f64,
+}
+
 struct Tenant {
     left: f64,
     at: Option<Moment>,
@@ -228,8 +235,7 @@
 pub struct Policy {
     rng: Pcg64Mcg,
     products: Vec<Product>,
-    /// Smoothed predicted CPU seconds a second by product, and its share of each engine.
-    demand: Vec<(f64, f64)>,
+    demand: Vec<Demand>,
     demand_at: Option<Moment>,
     tenancy: Tenancy,
     tenants: Vec<Tenant>,
@@ -257,7 +263,7 @@
         let share = 1.0 / products.len().max(1) as f64;
         Policy {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            demand: vec![(0.0, share); products.len()],
+            demand: products.iter().map(|_| Demand { cpu: 0.0, gain: 0.0, share }).collect(),
             demand_at: None,
             tenants: tenancy.allowances.iter().map(|a| Tenant { left: *a, at: None }).collect(),
             costs: Costs { prints: BTreeMap::new(), usual: vec![(0.0, 0.0); products.len()], uses: 0 },
@@ -446,9 +452,11 @@
         let gone = self.demand_at.map_or(0.0, |at| (now - at).secs());
         self.demand_at = Some(now);
         for demand in &mut self.demand {
-            demand.0 *= (-gone / 5.0).exp();
+            demand.cpu *= (-gone / 5.0).exp();
+            demand.gain *= (-gone / 5.0).exp();
         }
-        self.demand[s.product.0].0 += predicted / 5.0;
+        self.demand[s.product.0].cpu += predicted / 5.0;
+        self.demand[s.product.0].gain += self.products[s.product.0].gain / 5.0;
         self.spent.slice(now).1 += 1.0;
         if let Some(spent) = &mut self.rationed {
             spent.slice(now).1 += 1.0;
@@ -475,11 +483,13 @@
         let gone = self.demand_at.map_or(0.0, |at| (now - at).secs());
         let ready = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
         let capacity = ready.map(|e| e.cores).sum::<f64>() / self.fleet.peers;
-        let wanted: Vec<f64> = self.demand.iter().map(|d| d.0 * (-gone / 5.0).exp()).collect();
+        let wanted: Vec<f64> = self.demand.iter().map(|d| d.cpu * (-gone / 5.0).exp()).collect();
         if capacity <= 0.0 || wanted.iter().sum::<f64>() <= 0.0 {
             return;
         }
-        let worth = |p: &usize| self.products[*p].gain / self.costs.usual[*p].0.max(1e-3);
+        // Of all that is asked for: the completed alone are the light ones, and their mean would flatter a
+        // product whose heavy statements are being denied.
+        let worth = |p: &usize| self.demand[*p].gain / self.demand[*p].cpu.max(1e-6);
         let mut order: Vec<usize> = (0..wanted.len()).collect();
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
         let mut left = 1.0;
@@ -490,7 +500,7 @@
         }
         let given: f64 = shares.iter().sum::<f64>().max(1e-6);
         for (demand, share) in self.demand.iter_mut().zip(&shares) {
-            demand.1 = (share + left * share / given).max(0.02);
+            demand.share = (share + left * share / given).max(0.02);
         }
     }
 
@@ -504,7 +514,7 @@
             let warmth = warmth(self.cold, engine, now);
             // A slow engine burns as much CPU for longer: its refill shrinks with its bound.
             let speed = (engine.bound / own).min(1.0) * warmth;
-            for (left, (_, share)) in engine.left.iter_mut().zip(&self.demand) {
+            for (left, Demand { share, .. }) in engine.left.iter_mut().zip(&self.demand) {
                 let full = own * share * BURST_S * warmth;
                 *left = (*left + own * share * speed * gone).min(full);
             }
@@ -540,7 +550,7 @@
         let mut best: Option<(f64, EngineId)> = None;
         for engine in fit {
             let own = engine.cores / self.fleet.peers;
-            let full = own * self.demand[p].1 * BURST_S * warmth(self.cold, engine, now);
+            let full = own * self.demand[p].share * BURST_S * warmth(self.cold, engine, now);
             let left = engine.left[p];
             let near = match (engine.lag.now(), engine.lag.best) {
                 (Some(lag), Some(best)) => lag <= best * NEAR,
@@ -611,9 +621,9 @@
             let product = &self.products[p];
             product.quoted.secs() + product.quoted_stretch * cpu / product.threads
         };
-        let total: f64 = self.demand.iter().map(|d| d.0).sum::<f64>().max(1e-9);
+        let total: f64 = self.demand.iter().map(|d| d.cpu).sum::<f64>().max(1e-9);
         let usual: f64 = (0..self.products.len())
-            .map(|p| quoted(p, self.costs.usual[p].0) * self.demand[p].0 / total)
+            .map(|p| quoted(p, self.costs.usual[p].0) * self.demand[p].cpu / total)
             .sum();
         let part = quoted(s.product.0, predicted) / usual.max(1e-9);
         Some(if part < 0.5 {
