--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -763,7 +763,7 @@
     let (Some(lag), Some(best)) = (engine.lag.now(), engine.lag.best) else { return };
     if lag <= best * NEAR {
         if engine.running() + threads >= engine.bound * 0.7 {
-            engine.bound = (engine.bound + 0.5 * threads / engine.bound).min(engine.cores * 2.0);
+            engine.bound = (engine.bound + 0.15 * threads).min(engine.cores * 2.0);
         }
     } else if lag > best * JAMMED && (now - engine.cut).secs() > 0.5 {
         engine.bound = (engine.bound * 0.85).max(1.0);
