Count lower-ranked threads in the bound by the ratio in which they yield

It should also serve where a heavy product floods; it could harm where engines do not heed ranks though told.

--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -180,6 +180,9 @@
     pub cell: CellId,
     pub sent: Moment,
     pub charge: Span,
+    /// What it holds of its engine: so many threads, at this rank.
+    pub threads: f64,
+    pub rank: u8,
     pub state: RelayState,
 }
 
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -27,6 +27,10 @@
 const JAMMED: f64 = 2.4;
 /// Part of its hard limit that a statement may be held, in all waits between two relays.
 const HOLD: f64 = 0.08;
+/// How engines that heed ranks share what is short; the wire's ratio.
+const WEIGHTS: [f64; 4] = [1.0, 4.0, 8.0, 16.0];
+/// The rank of everything where ranks are not heeded.
+const USUAL_RANK: u8 = 1;
 /// Failures in a row that bench an engine.
 const FAILURES: u32 = 3;
 
@@ -144,10 +148,11 @@
     filled: Moment,
     bound: f64,
     cut: Moment,
-    threads: f64,
+    /// Running threads by rank.
+    threads: [f64; 4],
     out: u32,
     /// Threads of timed-out relays that may still run; emptied as their predicted end passes.
-    ghosts: Vec<(Moment, f64)>,
+    ghosts: Vec<(Moment, f64, u8)>,
     lag: Lag,
     health: Health,
     /// What may still be sent while cold, in usual CPU seconds.
@@ -155,8 +160,12 @@
 }
 
 impl Engine {
-    fn running(&self) -> f64 {
-        self.threads + self.ghosts.iter().map(|g| g.1).sum::<f64>()
+    /// Running threads as one of this rank meets them: short cores go to ranks in the ratio of `WEIGHTS`, so a
+    /// light statement need not wait for heavy ones that will yield to it.
+    fn running(&self, rank: u8) -> f64 {
+        let met = |of: usize, threads: f64| threads * (WEIGHTS[of] / WEIGHTS[rank as usize & 3]).min(1.0);
+        let live: f64 = self.threads.iter().enumerate().map(|(of, threads)| met(of, *threads)).sum();
+        live + self.ghosts.iter().map(|g| met(g.2 as usize & 3, g.1)).sum::<f64>()
     }
 
     /// Failed answers in a row, or none when one was due, take the engine out for a spell that doubles.
@@ -315,8 +324,8 @@
     /// What to do after this outcome.
     pub fn after(&mut self, now: Moment, s: &Statement, o: &Outcome) -> After {
         let Some(relay) = s.relays.get(o.relay.0 as usize) else { return After::Stay };
-        let (product, predicted) = (&self.products[s.product.0], self.costs.predict(s));
-        let (threads, charge) = (product.threads, relay.charge.secs());
+        let predicted = self.costs.predict(s);
+        let (threads, rank, charge) = (relay.threads, relay.rank as usize & 3, relay.charge.secs());
         let pace = self.fleet.note_pace.map_or(3.0 * predicted + 1.0, |p| p.secs() * 1.25 + 0.3);
         let Some(engine) = self.engines.get_mut(&relay.engine) else {
             return self.next(now, s, o);
@@ -327,7 +336,7 @@
                 return self.noted(now, s, relay, o);
             }
             _ => {
-                engine.threads = (engine.threads - threads).max(0.0);
+                engine.threads[rank] = (engine.threads[rank] - threads).max(0.0);
                 engine.out = engine.out.saturating_sub(1);
             }
         }
@@ -360,7 +369,7 @@
             // It may still hold its threads where the engine does not heed us.
             News::TimedOut | News::Cancelled => {
                 if !self.relaying.cancel {
-                    engine.ghosts.push((now + Span::from_secs(predicted / threads), threads));
+                    engine.ghosts.push((now + Span::from_secs(predicted / threads), threads, relay.rank));
                 }
                 if o.news == News::TimedOut && engine.health.due.is_some_and(|due| due <= now) {
                     engine.health.failures += 1;
@@ -415,7 +424,7 @@
             let cores = told.unwrap_or(8.0 * scale);
             let known = self.engines.get(&fact.id).filter(|e| e.fact.started == fact.started);
             if known.is_none() {
-                let out = self.engines.get(&fact.id).map_or((0.0, 0), |e| (e.threads, e.out));
+                let out = self.engines.get(&fact.id).map_or(([0.0; 4], 0), |e| (e.threads, e.out));
                 let engine = Engine {
                     fact: *fact,
                     cores,
@@ -527,6 +536,7 @@
 
     fn choose(&mut self, now: Moment, s: &Statement, place: Place, predicted: f64) -> Option<EngineId> {
         self.fill(now);
+        let rank = self.rank(s, predicted);
         let product = &self.products[s.product.0];
         let p = s.product.0;
         let usual = self.costs.usual[p].0.max(predicted.min(1.0));
@@ -562,7 +572,7 @@
                 left >= predicted || left >= full * 0.99 || near
             };
             let cold_ok = warmth(self.cold, engine, now) >= 1.0 || engine.cold_left >= usual;
-            if !afford || !cold_ok || engine.running() >= engine.bound {
+            if !afford || !cold_ok || engine.running(rank) >= engine.bound {
                 continue;
             }
             // One that just failed this statement comes last.
@@ -577,13 +587,14 @@
     }
 
     fn send(&mut self, now: Moment, s: &Statement, id: EngineId, predicted: f64) -> Answer {
+        let rank = self.rank(s, predicted);
         let product = &self.products[s.product.0];
         let usual = self.costs.usual[s.product.0].0.max(predicted.min(1.0));
         let pace = self.fleet.note_pace.map_or(f64::INFINITY, |p| p.secs() * 1.25 + 0.3);
         let engine = self.engines.get_mut(&id).expect("chosen from the table");
         engine.left[s.product.0] -= predicted;
         engine.cold_left -= usual;
-        engine.threads += product.threads;
+        engine.threads[rank as usize & 3] += product.threads;
         engine.out += 1;
         let lag = engine.lag.now().unwrap_or(1.0);
         let due = now + Span::from_secs((4.0 * predicted * lag / product.threads + 0.5).min(pace));
@@ -607,15 +618,17 @@
             cell: fact.cell,
             sent: now,
             charge: Span::from_secs(predicted),
+            threads: product.threads,
+            rank,
             state: RelayState::Out,
         };
-        Answer::Send { relay, limit: None, rank: self.rank(s, predicted) }
+        Answer::Send { relay, limit: None, rank: self.fleet.ranks_heeded.then_some(rank) }
     }
 
     /// Short quoted time first: the light ones hardly slow the heavy, the heavy would ruin the light.
-    fn rank(&self, s: &Statement, predicted: f64) -> Option<u8> {
+    fn rank(&self, s: &Statement, predicted: f64) -> u8 {
         if !self.fleet.ranks_heeded {
-            return None;
+            return USUAL_RANK;
         }
         let quoted = |p: usize, cpu: f64| {
             let product = &self.products[p];
@@ -626,15 +639,7 @@
             .map(|p| quoted(p, self.costs.usual[p].0) * self.demand[p].cpu / total)
             .sum();
         let part = quoted(s.product.0, predicted) / usual.max(1e-9);
-        Some(if part < 0.5 {
-            3
-        } else if part < 0.8 {
-            2
-        } else if part < 1.6 {
-            1
-        } else {
-            0
-        })
+        [0.5, 0.8, 1.6].iter().filter(|edge| part < **edge).count() as u8
     }
 
     fn noted(&mut self, now: Moment, s: &Statement, relay: &Relay, o: &Outcome) -> After {
@@ -762,7 +767,7 @@
 fn widen_or_shrink(engine: &mut Engine, now: Moment, threads: f64) {
     let (Some(lag), Some(best)) = (engine.lag.now(), engine.lag.best) else { return };
     if lag <= best * NEAR {
-        if engine.running() + threads >= engine.bound * 0.7 {
+        if engine.running(0) + threads >= engine.bound * 0.7 {
             engine.bound = (engine.bound + 0.15 * threads).min(engine.cores * 2.0);
         }
     } else if lag > best * JAMMED && (now - engine.cut).secs() > 0.5 {
