--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -592,7 +592,12 @@
         let usual = self.costs.usual[s.product.0].0.max(predicted.min(1.0));
         let pace = self.fleet.note_pace.map_or(f64::INFINITY, |p| p.secs() * 1.25 + 0.3);
         let engine = self.engines.get_mut(&id).expect("chosen from the table");
-        engine.left[s.product.0] -= predicted;
+        // A full bucket's debt is repaid whole. What near-best latency let through is charged down to one empty
+        // bucket's depth: an engine that proved it had the time must not be shut for minutes afterwards.
+        let left = engine.left[s.product.0];
+        let full = engine.cores / self.fleet.peers * self.demand[s.product.0].share * BURST_S;
+        let floor = if left >= full * 0.99 { f64::NEG_INFINITY } else { left.min(-full) };
+        engine.left[s.product.0] = (left - predicted).max(floor);
         engine.cold_left -= usual;
         engine.threads[rank as usize & 3] += product.threads;
         engine.out += 1;
