--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -25,6 +25,9 @@
 const NEAR: f64 = 1.6;
 /// Past this many times its best, an engine is jammed.
 const JAMMED: f64 = 2.4;
+/// The bound never passes this many threads a core, nor three times this gateway's share: latency tells of a jam
+/// seconds late, and by then all gateways would have widened together.
+const WIDEST: f64 = 2.0;
 /// Part of its hard limit that a statement may be held, in all waits between two relays.
 const HOLD: f64 = 0.08;
 /// How engines that heed ranks share what is short; the wire's ratio.
@@ -348,7 +351,7 @@
                 let true_cpu = cpu.map_or(charge, Span::secs);
                 engine.left[s.product.0] += charge - true_cpu;
                 engine.lag.saw(now, o.latency.secs() * threads, true_cpu);
-                widen_or_shrink(engine, now, threads);
+                widen_or_shrink(engine, now, threads, self.fleet.peers);
                 if let Some(cpu) = cpu {
                     self.costs.learn(s, charge, cpu.secs());
                 }
@@ -769,11 +772,11 @@
 }
 
 /// The thread bound follows latency per CPU second, and only an outcome that met the bound may widen it.
-fn widen_or_shrink(engine: &mut Engine, now: Moment, threads: f64) {
+fn widen_or_shrink(engine: &mut Engine, now: Moment, threads: f64, peers: f64) {
     let (Some(lag), Some(best)) = (engine.lag.now(), engine.lag.best) else { return };
     if lag <= best * NEAR {
         if engine.running(0) + threads >= engine.bound * 0.7 {
-            engine.bound = (engine.bound + 0.15 * threads).min(engine.cores * 2.0);
+            engine.bound = (engine.bound + 0.15 * threads).min(engine.cores * WIDEST.min(3.0 / peers));
         }
     } else if lag > best * JAMMED && (now - engine.cut).secs() > 0.5 {
         engine.bound = (engine.bound * 0.85).max(1.0);
