--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -776,7 +776,7 @@
     let (Some(lag), Some(best)) = (engine.lag.now(), engine.lag.best) else { return };
     if lag <= best * NEAR {
         if engine.running(0) + threads >= engine.bound * 0.7 {
-            engine.bound = (engine.bound + 0.15 * threads).min(engine.cores * WIDEST.min(3.0 / peers));
+            engine.bound = (engine.bound + 0.15 * threads).min(engine.cores * WIDEST.min(2.0 / peers));
         }
     } else if lag > best * JAMMED && (now - engine.cut).secs() > 0.5 {
         engine.bound = (engine.bound * 0.85).max(1.0);
