--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -22,9 +22,9 @@
 /// A bucket holds this many seconds of its refill.
 const BURST_S: f64 = 2.0;
 /// Latency per CPU second up to this many times its best is near it.
-const NEAR: f64 = 1.6;
+const NEAR: f64 = 2.0;
 /// Past this many times its best, an engine is jammed.
-const JAMMED: f64 = 2.4;
+const JAMMED: f64 = 3.0;
 /// The bound never passes this many threads a core, nor three times this gateway's share: latency tells of a jam
 /// seconds late, and by then all gateways would have widened together.
 const WIDEST: f64 = 2.0;
