Guard rules 2, 4 and 5 and bench engines on silence

Silence also catches cut links and dead processes; it could harm a gateway with very little traffic.

--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -187,7 +187,7 @@
 /// Rule 5: what is in hand under one key, oldest first. A key leaves once nothing is in hand and it has rested.
 #[derive(Default)]
 struct Turn {
-    line: VecDeque<(StatementId, bool)>,
+    line: VecDeque<StatementId>,
     out: Option<StatementId>,
     rest_until: Option<Moment>,
 }
@@ -309,19 +309,19 @@
         let quoted = product.quoted.secs() + product.quoted_stretch * predicted / product.threads;
         let useful = if product.late_gain > 0.0 { left } else { left.min(quoted - (now - s.taken).secs()) };
         if left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || alone * 0.7 > useful {
-            return self.give_up(s);
+            return self.give_up(now, s);
         }
         let (hold, turn) = (product.hard_limit.secs() * HOLD, self.in_turn(now, s));
         let retry = !s.relays.is_empty();
         if retry && !self.may_relay_again(now) {
-            return self.give_up(s);
+            return self.give_up(now, s);
         }
         if turn && let Some(id) = self.choose(now, s, place, predicted) {
             return self.send(now, s, id, predicted);
         }
         // A statement that waits for its key's turn keeps waiting: its place there is worth more than an early no.
         let held = (now - s.held_since).secs();
-        if (turn && held >= hold) || left < 0.05 { self.give_up(s) } else { Answer::NotYet(place) }
+        if (turn && held >= hold) || left < 0.05 { self.give_up(now, s) } else { Answer::NotYet(place) }
     }
 
     /// What to do after this outcome.
@@ -374,9 +374,6 @@
                 if !self.relaying.cancel {
                     engine.ghosts.push((now + Span::from_secs(predicted / threads), threads, relay.rank));
                 }
-                if o.news == News::TimedOut && engine.health.due.is_some_and(|due| due <= now) {
-                    engine.health.failures += 1;
-                }
             }
             _ => {}
         }
@@ -394,6 +391,11 @@
         self.share_out(now);
         for engine in self.engines.values_mut() {
             engine.ghosts.retain(|g| g.0 > now);
+            // Nothing heard when an answer or note was due: hung, cut off or dead, whatever the list says. It may
+            // bench an engine that only few statements of a quiet gateway reach; the trial lets that one back.
+            if engine.health.due.is_some_and(|due| due <= now) {
+                engine.bench(now);
+            }
         }
         self.turns
             .retain(|_, t| !t.line.is_empty() || t.out.is_some() || t.rest_until.is_some_and(|r| r > now));
@@ -473,8 +475,8 @@
         if let Some(spent) = &mut self.rationed {
             spent.slice(now).1 += 1.0;
         }
-        if let Some(key) = s.key.filter(|_| self.products[s.product.0].in_turn) {
-            self.turns.entry(key).or_default().line.push_back((s.id, false));
+        if let Some(key) = self.turn_key(s) {
+            self.turns.entry(key).or_default().line.push_back(s.id);
         }
         let mut over_allowance = false;
         if let Some(tenant) = self.tenants.get_mut(s.tenant.0) {
@@ -542,16 +544,15 @@
         let rank = self.rank(s, predicted);
         let product = &self.products[s.product.0];
         let p = s.product.0;
-        let usual = self.costs.usual[p].0.max(predicted.min(1.0));
+        let usual = self.usual(p);
         let listed = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
         let (mut fit, mut all) = (Vec::new(), 0);
         for engine in listed.filter(|e| allowed(product, s, e, now)) {
             all += 1;
             let health = &engine.health;
-            let silent = health.due.is_some_and(|due| due < now);
             let benched = health.benched_until.is_some_and(|until| until > now);
             let trying = health.benched_until.is_some() && health.trial.is_some();
-            if !(silent || benched || trying) {
+            if !(benched || trying) {
                 fit.push(engine);
             }
         }
@@ -592,7 +593,7 @@
     fn send(&mut self, now: Moment, s: &Statement, id: EngineId, predicted: f64) -> Answer {
         let rank = self.rank(s, predicted);
         let product = &self.products[s.product.0];
-        let usual = self.costs.usual[s.product.0].0.max(predicted.min(1.0));
+        let usual = self.usual(s.product.0);
         let pace = self.fleet.note_pace.map_or(f64::INFINITY, |p| p.secs() * 1.25 + 0.3);
         let engine = self.engines.get_mut(&id).expect("chosen from the table");
         // A full bucket's debt is repaid whole. What near-best latency let through is charged down to one empty
@@ -610,16 +611,16 @@
         if engine.health.benched_until.is_some() {
             engine.health.trial = Some(s.id);
         }
+        let fact = engine.fact;
         if !s.relays.is_empty() {
             self.spent.slice(now).2 += 1.0;
             if let Some(spent) = &mut self.rationed {
                 spent.slice(now).2 += 1.0;
             }
         }
-        if let Some(turn) = s.key.and_then(|key| self.turns.get_mut(&key)) {
+        if let Some(turn) = self.turn_key(s).and_then(|key| self.turns.get_mut(&key)) {
             turn.out = Some(s.id);
         }
-        let fact = engine.fact;
         let relay = Relay {
             engine: id,
             location: fact.location,
@@ -633,6 +634,13 @@
         Answer::Send { relay, limit: None, rank: self.fleet.ranks_heeded.then_some(rank) }
     }
 
+    /// A product's usual CPU. The completed alone are too light where the heavy are denied, which rule 4 would pay
+    /// for, so the mean of all that was asked for counts where it is more.
+    fn usual(&self, p: usize) -> f64 {
+        let asked = self.demand[p].gain / self.products[p].gain.max(1e-6);
+        self.costs.usual[p].0.max(self.demand[p].cpu / asked.max(1e-6)).max(1e-4)
+    }
+
     /// Short quoted time first: the light ones hardly slow the heavy, the heavy would ruin the light.
     fn rank(&self, s: &Statement, predicted: f64) -> u8 {
         if !self.fleet.ranks_heeded {
@@ -643,9 +651,8 @@
             product.quoted.secs() + product.quoted_stretch * cpu / product.threads
         };
         let total: f64 = self.demand.iter().map(|d| d.cpu).sum::<f64>().max(1e-9);
-        let usual: f64 = (0..self.products.len())
-            .map(|p| quoted(p, self.costs.usual[p].0) * self.demand[p].cpu / total)
-            .sum();
+        let usual: f64 =
+            (0..self.products.len()).map(|p| quoted(p, self.usual(p)) * self.demand[p].cpu / total).sum();
         let part = quoted(s.product.0, predicted) / usual.max(1e-9);
         [0.5, 0.8, 1.6].iter().filter(|edge| part < **edge).count() as u8
     }
@@ -666,9 +673,7 @@
     }
 
     fn next(&mut self, now: Moment, s: &Statement, o: &Outcome) -> After {
-        if let Some(key) = s.key
-            && let Some(turn) = self.turns.get_mut(&key)
-        {
+        if let Some(turn) = self.turn_key(s).and_then(|key| self.turns.get_mut(&key)) {
             turn.out = turn.out.filter(|id| *id != s.id);
             if matches!(o.news, News::TimedOut | News::Reset | News::Cancelled) {
                 turn.rest_until = Some(now + self.relaying.settle);
@@ -678,8 +683,10 @@
             self.over(s);
             return After::Over;
         }
-        if (s.hard_limit - now).secs() < 0.03 || s.relays.len() >= self.relaying.most {
-            return match self.give_up(s) {
+        let ran = s.relays.iter().any(|r| r.state == RelayState::MayHaveRun);
+        let never_again = ran && self.products[s.product.0].effect == Effect::Unrepeatable;
+        if never_again || (s.hard_limit - now).secs() < 0.03 || s.relays.len() >= self.relaying.most {
+            return match self.give_up(now, s) {
                 Answer::Deny { come_back } => After::Deny { come_back },
                 _ => After::Scrap,
             };
@@ -688,26 +695,32 @@
     }
 
     fn over(&mut self, s: &Statement) {
-        if let Some(turn) = s.key.and_then(|key| self.turns.get_mut(&key)) {
-            turn.line.retain(|(id, _)| *id != s.id);
+        if let Some(turn) = self.turn_key(s).and_then(|key| self.turns.get_mut(&key)) {
+            turn.line.retain(|id| *id != s.id);
         }
     }
 
     /// Rule 2: a denial says that trying again is harmless, so it needs proof.
-    fn give_up(&mut self, s: &Statement) -> Answer {
+    fn give_up(&mut self, now: Moment, s: &Statement) -> Answer {
         self.over(s);
-        let harmless = s.relays.iter().all(|r| r.state == RelayState::NeverRan)
-            || match self.products[s.product.0].effect {
-                Effect::Idempotent => true,
-                Effect::Deduplicated { group, .. } => group == RepeatGroup::All,
-                Effect::Unrepeatable => false,
-            };
+        let ran = s.relays.iter().find(|r| r.state != RelayState::NeverRan);
+        let harmless = match (ran, self.products[s.product.0].effect) {
+            (None, _) | (_, Effect::Idempotent) => true,
+            (Some(ran), Effect::Deduplicated { group: RepeatGroup::All, remembered }) => {
+                now - ran.sent < remembered
+            }
+            _ => false,
+        };
         if harmless { Answer::Deny { come_back: self.relaying.come_back } } else { Answer::Scrap }
     }
 
+    fn turn_key(&self, s: &Statement) -> Option<OrderKey> {
+        s.key.filter(|_| self.products[s.product.0].in_turn)
+    }
+
     fn in_turn(&self, now: Moment, s: &Statement) -> bool {
-        let Some(turn) = s.key.and_then(|key| self.turns.get(&key)) else { return true };
-        let first = turn.line.front().is_none_or(|(id, _)| *id == s.id);
+        let Some(turn) = self.turn_key(s).and_then(|key| self.turns.get(&key)) else { return true };
+        let first = turn.line.front().is_none_or(|id| *id == s.id);
         let rested = turn.rest_until.is_none_or(|until| until <= now);
         first && turn.out.is_none() && rested
     }
@@ -728,6 +741,7 @@
         }
         let Some(asked) = list.asked else {
             list.asked = Some(now);
+            list.every = list.terms.ask_within.secs() * 0.4;
             return (Some(ListAsk::Subscribe), 0.25);
         };
         // Spread by chance, or every gateway that lost its subscription would ask in the same instant.
