--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use rand::{Rng, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::interface::*;
@@ -370,10 +370,8 @@
                 engine.health.failures += 1;
             }
             // It may still hold its threads where the engine does not heed us.
-            News::TimedOut | News::Cancelled => {
-                if !self.relaying.cancel {
-                    engine.ghosts.push((now + Span::from_secs(predicted / threads), threads, relay.rank));
-                }
+            News::TimedOut | News::Cancelled if !self.relaying.cancel => {
+                engine.ghosts.push((now + Span::from_secs(predicted / threads), threads, relay.rank));
             }
             _ => {}
         }
--- /dev/null
+++ b/crates/admission/tests/decisions.rs
@@ -0,0 +1,450 @@
+//! Plain cases of the module, and random days on which the seven rules are checked after every step.
+
+use std::collections::BTreeMap;
+
+use admission::interface::*;
+use admission::policy::Policy;
+use quickcheck::{Gen, QuickCheck, TestResult};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn span(secs: f64) -> Span {
+    Span::from_secs(secs)
+}
+
+fn at(secs: f64) -> Moment {
+    Moment::from_secs(secs)
+}
+
+fn product(effect: Effect) -> Product {
+    Product {
+        effect,
+        gain: 1.0,
+        late_gain: 0.5,
+        quoted: span(1.0),
+        quoted_stretch: 2.0,
+        hard_limit: span(4.0),
+        threads: 1.0,
+        in_turn: false,
+        locations: None,
+        machines: None,
+    }
+}
+
+fn engine(id: u32, started: Option<f64>) -> EngineFact {
+    EngineFact {
+        id: EngineId(id),
+        scale: 1.0,
+        location: LocationId((id % 2) as u16),
+        machine: MachineId(0),
+        cell: CellId((id % 3) as u16),
+        stage: Stage::Ready,
+        started: started.map(at),
+    }
+}
+
+const RATION: Ration = Ration { free: 2.0, share: 0.1, window: Span::ZERO };
+const PEERS: f64 = 2.0;
+const CORES: f64 = 8.0;
+const COLD_S: f64 = 10.0;
+
+fn policy(seed: u64, products: &[Product], ration: Option<Ration>) -> Policy {
+    let fleet = Fleet { peers: PEERS, cores: vec![CORES], note_pace: Some(span(2.0)), ranks_heeded: true };
+    let cold = ColdStart { share: 0.3, warm_after: span(COLD_S), multiple: 2.0, window: span(1.0) };
+    let come_back = Some(span(0.5));
+    let relaying = Relaying { most: 4, cancel: true, come_back, settle: span(0.7), ration };
+    let tenancy = Tenancy { allowances: vec![40.0, 10.0], over_gain: 0.1 };
+    let listing = Listing { on_request: false, ask_within: span(10.0) };
+    Policy::new(seed, products.to_vec(), tenancy, fleet, Some(cold), relaying, listing)
+}
+
+/// One statement in the caller's hands, with what the checks need to know of it.
+struct Held {
+    s: Statement,
+    over: bool,
+    uncertain_until: Option<Moment>,
+}
+
+/// A caller that keeps the rules' books by itself and fails on the first breach.
+struct World {
+    policy: Policy,
+    products: Vec<Product>,
+    now: f64,
+    next: u64,
+    hand: BTreeMap<StatementId, Held>,
+    list: BTreeMap<EngineId, EngineFact>,
+    taken: Vec<f64>,
+    further: Vec<f64>,
+    /// Sends to engines, as time and true work.
+    sends: Vec<(EngineId, f64, f64)>,
+    completed: usize,
+    ration: Option<Ration>,
+}
+
+const WORK: [f64; 4] = [0.1, 0.1, 0.6, 0.1];
+
+impl World {
+    fn new(seed: u64, products: Vec<Product>, list: &[EngineFact], ration: Option<Ration>) -> Self {
+        let mut policy = policy(seed, &products, ration);
+        policy.told_list(at(1000.0), &ListNews::Whole(list.to_vec()));
+        World {
+            policy,
+            products,
+            now: 1000.0,
+            next: 0,
+            hand: BTreeMap::new(),
+            list: list.iter().map(|fact| (fact.id, *fact)).collect(),
+            taken: Vec::new(),
+            further: Vec::new(),
+            sends: Vec::new(),
+            completed: 0,
+            ration,
+        }
+    }
+
+    fn take(&mut self, product: usize, key: Option<u64>, estimate: f64) -> StatementId {
+        let (id, now) = (StatementId(self.next), at(self.now));
+        self.next += 1;
+        let s = Statement {
+            id,
+            product: ProductId(product),
+            tenant: TenantId((self.next % 2) as usize),
+            group: GroupId((self.next % 5) as u32),
+            estimate: Some(span(estimate)),
+            memory_mb: 0.0,
+            key: key.map(OrderKey),
+            taken: now,
+            hard_limit: now + self.products[product].hard_limit,
+            held_since: now,
+            place: None,
+            relays: Vec::new(),
+        };
+        self.taken.push(self.now);
+        self.hand.insert(id, Held { s, over: false, uncertain_until: None });
+        self.ask(id);
+        id
+    }
+
+    fn ask_line(&mut self) {
+        let out = |h: &Held| h.s.relays.iter().any(|r| r.state == RelayState::Out);
+        let line = self.hand.values().filter(|h| !h.over && !out(h)).filter_map(|h| h.s.place);
+        let mut line: Vec<Place> = line.collect();
+        line.sort();
+        line.into_iter().for_each(|place| self.ask(place.id));
+        self.policy.pause(at(self.now), 1);
+        for held in self.hand.values().filter(|h| !h.over) {
+            let late = (at(self.now) - held.s.hard_limit).secs();
+            assert!(late < 0.0 || out(held), "rule 1: {:?} held past its hard limit", held.s.id);
+        }
+    }
+
+    fn ask(&mut self, id: StatementId) {
+        let answer = self.policy.place(at(self.now), &self.hand[&id].s);
+        match answer {
+            Answer::NotYet(place) => self.hand.get_mut(&id).unwrap().s.place = Some(place),
+            Answer::Send { relay, .. } => {
+                self.check_send(id, &relay);
+                self.hand.get_mut(&id).unwrap().s.relays.push(relay);
+            }
+            Answer::Deny { .. } => self.end(id, true),
+            Answer::Scrap => self.end(id, false),
+        }
+    }
+
+    fn end(&mut self, id: StatementId, denied: bool) {
+        let held = self.hand.get_mut(&id).unwrap();
+        assert!(!held.over, "rule 1: answered twice");
+        held.over = true;
+        let ran = held.s.relays.iter().any(|r| r.state != RelayState::NeverRan);
+        let group = match self.products[held.s.product.0].effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated { group, .. } => group == RepeatGroup::All,
+            Effect::Unrepeatable => false,
+        };
+        assert!(!denied || !ran || group, "rule 2: denied though it may have run");
+    }
+
+    fn check_send(&mut self, id: StatementId, relay: &Relay) {
+        let (now, held) = (at(self.now), &self.hand[&id]);
+        let (s, product) = (&held.s, &self.products[held.s.product.0]);
+        assert!(!held.over && now < s.hard_limit, "rule 1: sent after its end");
+        assert!(s.relays.iter().all(|r| r.state != RelayState::Out), "two relays out");
+        let to = self.list[&relay.engine];
+        assert_eq!(to.stage, Stage::Ready, "rule 3: sent to an engine told as draining or gone");
+        if let Some(ran) = s.relays.iter().find(|r| r.state == RelayState::MayHaveRun) {
+            let from = self.list[&ran.engine];
+            match product.effect {
+                Effect::Idempotent => {}
+                Effect::Unrepeatable => panic!("rule 2: unrepeatable sent again"),
+                Effect::Deduplicated { group, remembered } => {
+                    assert!(now - ran.sent < remembered, "rule 2: past the memory of its repeats");
+                    let same = match group {
+                        RepeatGroup::All => true,
+                        RepeatGroup::Location => from.location == to.location,
+                        RepeatGroup::Cell => from.cell == to.cell,
+                    };
+                    assert!(same, "rule 2: outside the group that drops repeats");
+                }
+            }
+        }
+        let placed = product.locations.as_ref().is_none_or(|of| of.contains(&to.location));
+        assert!(placed && product.machines.as_ref().is_none_or(|of| of.contains(&to.machine)), "rule 6");
+        if product.in_turn && s.key.is_some() {
+            for (other, held) in self.hand.iter().filter(|(other, h)| **other < id && h.s.key == s.key) {
+                let out = held.s.relays.iter().any(|r| r.state == RelayState::Out);
+                let turn = self.products[held.s.product.0].in_turn;
+                assert!(!turn || held.over && !out, "rule 5: {id:?} before {other:?}");
+                assert!(!turn || held.uncertain_until.is_none_or(|until| until <= now), "rule 5: no rest");
+            }
+        }
+        if !s.relays.is_empty() {
+            self.further.push(self.now);
+        }
+        if let Some(ration) = self.ration {
+            let since =
+                |of: &[f64]| of.iter().filter(|t| self.now - **t < ration.window.secs()).count() as f64;
+            let most = ration.free + ration.share * since(&self.taken);
+            assert!(s.relays.is_empty() || since(&self.further) <= most, "rule 7: over the ration");
+        }
+        self.sends.push((relay.engine, self.now, WORK[s.product.0]));
+        if let Some(started) = to.started {
+            let age = (now - started).secs();
+            let capacity = CORES * 0.85 * (0.3 + 0.7 * (age / COLD_S).clamp(0.0, 1.0).powi(3));
+            let recent = self.sends.iter().filter(|(e, t, _)| *e == relay.engine && self.now - t < 1.0);
+            let work: f64 = recent.map(|(.., work)| work).sum();
+            let most = 2.0 * capacity / PEERS + 0.6;
+            assert!(age > COLD_S || work <= most, "rule 4: {work} of {most} at {age}");
+        }
+    }
+
+    fn outcome(&mut self, id: StatementId, news: News) {
+        let held = self.hand.get_mut(&id).unwrap();
+        let number = held.s.relays.len() - 1;
+        let relay = &mut held.s.relays[number];
+        if relay.state != RelayState::Out {
+            return;
+        }
+        relay.state = match news {
+            News::Progress(_) | News::Strained => RelayState::Out,
+            News::TurnedAway | News::Unreachable | News::NeverSent => RelayState::NeverRan,
+            _ => RelayState::MayHaveRun,
+        };
+        let latency = at(self.now) - relay.sent;
+        if matches!(news, News::TimedOut | News::Reset | News::Cancelled) {
+            held.uncertain_until = Some(at(self.now) + span(0.7));
+        }
+        let settled = held.over || matches!(news, News::Completed { .. });
+        let outcome = Outcome { relay: RelayNo(number as u16), news, latency, settled };
+        self.completed += usize::from(matches!(news, News::Completed { .. }));
+        match self.policy.after(at(self.now), &held.s, &outcome) {
+            After::Stay => {}
+            After::Cancel(_) => self.outcome(id, News::Cancelled),
+            After::Ask => held.s.held_since = at(self.now),
+            After::Over => held.over = true,
+            After::Deny { .. } => self.end(id, true),
+            After::Scrap => self.end(id, false),
+        }
+    }
+
+    /// Answers what is out: a bad engine fails it or, when silent, leaves it; the others complete it.
+    fn answer(&mut self, bad: impl Fn(EngineId) -> bool, silent: bool) {
+        let out = |h: &&Held| h.s.relays.last().is_some_and(|r| r.state == RelayState::Out);
+        let out: Vec<_> =
+            self.hand.values().filter(out).map(|h| (h.s.id, h.s.relays.last().unwrap().engine)).collect();
+        for (id, engine) in out {
+            match (bad(engine), silent) {
+                (true, true) => {}
+                (true, false) => self.outcome(id, News::Error),
+                (false, _) => self.outcome(id, News::Completed { cpu: Some(span(0.05)) }),
+            }
+        }
+        self.ask_line();
+    }
+
+    fn tell(&mut self, fact: EngineFact) {
+        // What reached the engine before its start is no load on the new one.
+        self.sends.retain(|sent| {
+            sent.0 != fact.id || self.list.get(&fact.id).is_some_and(|f| f.started == fact.started)
+        });
+        self.list.insert(fact.id, fact);
+        self.policy.told_list(at(self.now), &ListNews::Changes(vec![fact]));
+    }
+}
+
+/// Any mix of troubles: failing, silent, slow, draining, restarting engines, clients that leave, bad plans.
+fn random_day(seed: u64) -> usize {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let group = [RepeatGroup::All, RepeatGroup::Location, RepeatGroup::Cell][rng.random_range(0..3)];
+    let mut products = vec![
+        product(Effect::Idempotent),
+        product(Effect::Deduplicated { group, remembered: span(1.5) }),
+        product(Effect::Unrepeatable),
+        product(Effect::Idempotent),
+    ];
+    products[1].in_turn = rng.random();
+    products[2].in_turn = rng.random();
+    products[3].locations = Some(vec![LocationId(1)]);
+    let ration = rng.random::<bool>().then_some(Ration { window: span(3.0), ..RATION });
+    let list: Vec<_> = (0..5).map(|id| engine(id, rng.random::<bool>().then_some(998.0))).collect();
+    let mut world = World::new(seed, products, &list, ration);
+    let bad: f64 = rng.random::<f64>() * 0.6;
+    for _ in 0..400 {
+        world.now += rng.random::<f64>() * 0.02;
+        for _ in 0..rng.random_range(0..3) {
+            let product = rng.random_range(0..4);
+            let key = rng.random::<bool>().then(|| rng.random_range(1..4));
+            let spread: f64 = rng.random_range(0.2..4.0);
+            world.take(product, key, WORK[product] * spread);
+        }
+        let out = |h: &&Held| h.s.relays.last().is_some_and(|r| r.state == RelayState::Out);
+        let relayed: Vec<StatementId> = world.hand.values().filter(out).map(|h| h.s.id).collect();
+        for id in relayed {
+            let late = at(world.now) >= world.hand[&id].s.hard_limit;
+            let work = WORK[world.hand[&id].s.product.0];
+            let failed = [
+                News::Error,
+                News::TurnedAway,
+                News::TimedOut,
+                News::Unreachable,
+                News::Reset,
+                News::Progress(rng.random()),
+            ][rng.random_range(0..6)];
+            if late {
+                world.outcome(id, News::TimedOut);
+            } else if rng.random::<f64>() < 0.1 {
+                let done = News::Completed { cpu: Some(span(work)) };
+                world.outcome(id, if rng.random::<f64>() < bad { failed } else { done });
+            }
+        }
+        if rng.random::<f64>() < 0.02 {
+            let id = rng.random_range(0..6);
+            let started = rng.random::<bool>().then_some(world.now);
+            let stage = [Stage::Ready, Stage::Draining, Stage::Gone][rng.random_range(0..3)];
+            world.tell(EngineFact { stage, ..engine(id, started) });
+        }
+        if rng.random::<f64>() < 0.02
+            && let Some(held) = world.hand.values_mut().find(|h| !h.over)
+        {
+            held.over = true;
+            world.policy.told_left(&held.s);
+        }
+        world.ask_line();
+    }
+    world.completed
+}
+
+#[test]
+fn random_days_keep_every_rule() {
+    fn day(seed: u64) -> TestResult {
+        TestResult::from_bool(random_day(seed) > 20)
+    }
+    let random = Gen::from_size_and_seed(100, 11);
+    QuickCheck::new().rng(random).tests(40).quickcheck(day as fn(u64) -> TestResult);
+}
+
+fn send(world: &mut World, product: usize, estimate: f64) -> Option<(StatementId, Relay)> {
+    let id = world.take(product, None, estimate);
+    world.ask_line();
+    world.hand[&id].s.relays.last().map(|relay| (id, *relay))
+}
+
+fn complete(world: &mut World, id: StatementId, cpu: f64, after: f64) {
+    world.now += after;
+    world.outcome(id, News::Completed { cpu: Some(span(cpu)) });
+}
+
+#[test]
+fn prediction_is_estimate_times_the_smoothed_ratio() {
+    let mut world = World::new(1, vec![product(Effect::Idempotent)], &[engine(0, None)], None);
+    let (id, relay) = send(&mut world, 0, 0.1).unwrap();
+    assert_eq!(relay.charge, span(0.1));
+    complete(&mut world, id, 0.2, 0.2);
+    // Another group borrows the median k of the one that was seen: 2.
+    let (id, relay) = send(&mut world, 0, 0.1).unwrap();
+    assert_eq!(relay.charge, span(0.2));
+    complete(&mut world, id, 0.2, 0.2);
+    // Back in the first group: CPU 0.4 x 0.4 + 0.6 x 0.2 over an estimate of 0.1, then times the estimate.
+    world.next = 5;
+    let (id, _) = send(&mut world, 0, 0.1).unwrap();
+    complete(&mut world, id, 0.4, 0.4);
+    world.next = 10;
+    let (_, relay) = send(&mut world, 0, 0.1).unwrap();
+    assert_eq!(relay.charge, span(0.28));
+}
+
+#[test]
+fn one_bad_plan_moves_a_prediction_by_no_more_than_its_cap() {
+    let mut world = World::new(1, vec![product(Effect::Idempotent)], &[engine(0, None)], None);
+    let (id, _) = send(&mut world, 0, 0.1).unwrap();
+    complete(&mut world, id, 0.1, 0.1);
+    world.next = 5;
+    let (id, _) = send(&mut world, 0, 0.1).unwrap();
+    complete(&mut world, id, 2.0, 2.0);
+    world.next = 10;
+    let (_, relay) = send(&mut world, 0, 0.1).unwrap();
+    assert_eq!(relay.charge, span(0.18));
+}
+
+#[test]
+fn failures_in_a_row_and_silence_bench_an_engine_until_one_trial_comes_back() {
+    for silent in [false, true] {
+        let list = [engine(0, None), engine(1, None), engine(2, None)];
+        let mut world = World::new(3, vec![product(Effect::Idempotent)], &list, None);
+        for step in 0..1600 {
+            world.now += 0.01;
+            world.take(0, None, 0.05);
+            world.ask_line();
+            world.answer(|id| id == EngineId(1) && step < 400, silent);
+        }
+        let drawn = |from: f64, to: f64| {
+            let sends =
+                world.sends.iter().filter(|s| s.0 == EngineId(1) && s.1 > 1000.0 + from && s.1 < 1000.0 + to);
+            sends.count()
+        };
+        assert!(drawn(1.5, 4.0) < 12, "a bad engine kept drawing statements: {}", drawn(1.5, 4.0));
+        assert!(drawn(14.0, 16.0) > 20, "never back: {}", drawn(14.0, 16.0));
+    }
+}
+
+#[test]
+fn a_common_cause_benches_nobody() {
+    let list = [engine(0, None), engine(1, None)];
+    let mut world = World::new(3, vec![product(Effect::Idempotent)], &list, None);
+    for _ in 0..20 {
+        world.now += 0.3;
+        world.take(0, None, 0.05);
+        world.ask_line();
+        world.answer(|_| true, false);
+    }
+    assert!(world.sends.iter().filter(|s| s.1 > 1004.0).count() >= 6);
+}
+
+#[test]
+fn light_statements_pass_heavy_ones_of_a_lower_rank() {
+    let mut heavy = product(Effect::Idempotent);
+    (heavy.threads, heavy.quoted, heavy.hard_limit) = (4.0, span(8.0), span(15.0));
+    let mut world = World::new(1, vec![product(Effect::Idempotent), heavy], &[engine(0, None)], None);
+    send(&mut world, 0, 0.05);
+    for _ in 0..20 {
+        send(&mut world, 1, 4.0);
+    }
+    assert!(send(&mut world, 1, 4.0).is_none(), "the bound holds the heavy");
+    assert!(send(&mut world, 0, 0.05).is_some(), "but not the light");
+}
+
+#[test]
+fn what_cannot_finish_usefully_is_denied_at_once() {
+    let mut world = World::new(1, vec![product(Effect::Idempotent)], &[engine(0, None)], None);
+    let id = world.take(0, None, 30.0);
+    world.ask_line();
+    assert!(world.hand[&id].over);
+}
+
+#[test]
+fn the_earliest_hard_limit_is_first_in_line() {
+    let mut late = product(Effect::Idempotent);
+    late.hard_limit = span(9.0);
+    let mut world = World::new(1, vec![late, product(Effect::Idempotent)], &[], None);
+    let (first, second) = (world.take(0, None, 0.1), world.take(1, None, 0.1));
+    assert!(world.hand[&second].s.place < world.hand[&first].s.place);
+}
