--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -106,6 +106,8 @@
     pub peers: f64,
     /// Cores by machine kind; empty where untold.
     pub cores: Vec<f64>,
+    /// Memory by machine kind; empty where untold.
+    pub memory_mb: Vec<f64>,
     pub note_pace: Option<Span>,
     pub ranks_heeded: bool,
 }
@@ -180,8 +182,9 @@
     pub cell: CellId,
     pub sent: Moment,
     pub charge: Span,
-    /// What it holds of its engine: so many threads, at this rank.
+    /// What it holds of its engine: so many threads and so much memory, at this rank.
     pub threads: f64,
+    pub memory_mb: f64,
     pub rank: u8,
     pub state: RelayState,
 }
@@ -236,6 +239,7 @@
     Streaming,
     Completed {
         cpu: Option<Span>,
+        memory_mb: Option<f64>,
     },
     Error,
     TurnedAway,
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -25,8 +25,8 @@
 const NEAR: f64 = 2.0;
 /// Past this many times its best, an engine is jammed.
 const JAMMED: f64 = 3.0;
-/// The bound never passes this many threads a core, nor three times this gateway's share: latency tells of a jam
-/// seconds late, and by then all gateways would have widened together.
+/// The bound widens to this many threads a core of this gateway's share at most: latency tells of a jam seconds
+/// late, and by then all gateways would have widened together. Could harm a gateway with far more than its share.
 const WIDEST: f64 = 2.0;
 /// Part of its hard limit that a statement may be held, in all waits between two relays.
 const HOLD: f64 = 0.08;
@@ -76,8 +76,7 @@
 
     fn learn(&mut self, s: &Statement, predicted: f64, cpu: f64) {
         let estimate = self.estimate(s);
-        let fresh = self.prints.values().filter(|c| c.used > 0).count() == 0;
-        let seen = if fresh { cpu } else { cpu.min(predicted * SURPRISE) }.max(1e-5);
+        let seen = if self.prints.is_empty() { cpu } else { cpu.min(predicted * SURPRISE) }.max(1e-5);
         self.uses += 1;
         let cost = self.prints.entry((s.product, s.group)).or_default();
         let weight = if cost.used == 0 { 1.0 } else { SMOOTH };
@@ -100,7 +99,7 @@
 }
 
 /// Latency per CPU second, weighted by CPU so that light statements in front cannot hide a jam behind them.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Lag {
     latency: f64,
     cpu: f64,
@@ -134,7 +133,7 @@
 }
 
 /// Judged by failures in a row and by silence past when something was due.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Health {
     failures: u32,
     due: Option<Moment>,
@@ -143,9 +142,19 @@
     trial: Option<StatementId>,
 }
 
+impl Health {
+    /// A benched engine gets one trial statement when its spell is over.
+    fn fit(&self, now: Moment) -> bool {
+        self.benched_until.is_none_or(|until| until <= now && self.trial.is_none())
+    }
+}
+
+#[derive(Clone)]
 struct Engine {
     fact: EngineFact,
     cores: f64,
+    memory_mb: f64,
+    held_mb: f64,
     /// CPU seconds left by product.
     left: Vec<f64>,
     filled: Moment,
@@ -192,24 +201,20 @@
     rest_until: Option<Moment>,
 }
 
-/// Rule 7, and the module's own limit: counts by slice of a window, so that it holds no entry a statement.
+/// Rule 7, and the module's own ration: counts by slice of the window, so that it holds no entry a statement.
+/// Each slice is its number, statements taken and further relays; slices leave as the window passes them.
 struct Spent {
+    terms: Ration,
     slices: VecDeque<(i64, f64, f64)>,
-    slice_s: f64,
 }
 
 impl Spent {
     const SLICES: i64 = 20;
 
-    fn new(window: Span) -> Self {
-        Spent { slices: VecDeque::new(), slice_s: (window.secs() / Self::SLICES as f64).max(1e-3) }
-    }
-
     fn slice(&mut self, now: Moment) -> &mut (i64, f64, f64) {
-        let at = ((now - Moment::from_secs(0.0)).secs() / self.slice_s).floor() as i64;
-        while self.slices.front().is_some_and(|s| s.0 < at - Self::SLICES) {
-            self.slices.pop_front();
-        }
+        let slice_s = (self.terms.window.secs() / Self::SLICES as f64).max(1e-3);
+        let at = ((now - Moment::from_secs(0.0)).secs() / slice_s).floor() as i64;
+        self.slices.retain(|s| s.0 >= at - Self::SLICES);
         if self.slices.back().is_none_or(|s| s.0 < at) {
             self.slices.push_back((at, 0.0, 0.0));
         }
@@ -217,11 +222,11 @@
     }
 
     /// The oldest slice lies partly outside the window: its relays count, its statements do not.
-    fn room(&mut self, now: Moment, free: f64, share: f64) -> bool {
+    fn room(&mut self, now: Moment) -> bool {
         let at = self.slice(now).0;
         let relays: f64 = self.slices.iter().map(|s| s.2).sum();
         let taken: f64 = self.slices.iter().filter(|s| s.0 > at - Self::SLICES).map(|s| s.1).sum();
-        relays + 1.0 <= free + share * taken
+        relays + 1.0 <= self.terms.free + self.terms.share * taken
     }
 }
 
@@ -255,10 +260,11 @@
     cold: Option<ColdStart>,
     relaying: Relaying,
     costs: Costs,
+    /// Smoothed memory needed and estimated, by product.
+    needs: Vec<(f64, f64)>,
     engines: BTreeMap<EngineId, Engine>,
     turns: BTreeMap<OrderKey, Turn>,
-    rationed: Option<Spent>,
-    spent: Spent,
+    rations: Vec<Spent>,
     list: List,
 }
 
@@ -273,16 +279,19 @@
         listing: Listing,
     ) -> Self {
         let share = 1.0 / products.len().max(1) as f64;
+        // Retries must not feed a jam, so the module sets a ration of its own beside the stated one.
+        let own = Ration { free: 5.0, share: 0.2, window: Span::from_secs(10.0) };
+        let rations = [own].into_iter().chain(relaying.ration);
         Policy {
             rng: Pcg64Mcg::seed_from_u64(seed),
             demand: products.iter().map(|_| Demand { cpu: 0.0, gain: 0.0, share }).collect(),
             demand_at: None,
             tenants: tenancy.allowances.iter().map(|a| Tenant { left: *a, at: None }).collect(),
             costs: Costs { prints: BTreeMap::new(), usual: vec![(0.0, 0.0); products.len()], uses: 0 },
+            needs: vec![(1.0, 1.0); products.len()],
             engines: BTreeMap::new(),
             turns: BTreeMap::new(),
-            rationed: relaying.ration.map(|r| Spent::new(r.window)),
-            spent: Spent::new(Span::from_secs(10.0)),
+            rations: rations.map(|terms| Spent { terms, slices: VecDeque::new() }).collect(),
             list: List { terms: listing, asked: None, every: 0.0 },
             products,
             tenancy,
@@ -341,17 +350,22 @@
             _ => {
                 engine.threads[rank] = (engine.threads[rank] - threads).max(0.0);
                 engine.out = engine.out.saturating_sub(1);
+                engine.held_mb = (engine.held_mb - relay.memory_mb).max(0.0);
             }
         }
         let tried = engine.health.trial == Some(s.id);
         match o.news {
-            News::Completed { cpu } => {
+            News::Completed { cpu, memory_mb } => {
                 engine.heard(now, pace);
                 engine.health = Health { due: engine.health.due, ..Health::default() };
                 let true_cpu = cpu.map_or(charge, Span::secs);
                 engine.left[s.product.0] += charge - true_cpu;
                 engine.lag.saw(now, o.latency.secs() * threads, true_cpu);
                 widen_or_shrink(engine, now, threads, self.fleet.peers);
+                if let Some(seen) = memory_mb.filter(|_| s.memory_mb > 0.0) {
+                    let needs = &mut self.needs[s.product.0];
+                    *needs = (needs.0 * 0.99 + seen, needs.1 * 0.99 + s.memory_mb);
+                }
                 if let Some(cpu) = cpu {
                     self.costs.learn(s, charge, cpu.secs());
                 }
@@ -407,8 +421,7 @@
         self.list.every = 0.0;
         let facts = match news {
             ListNews::Failed => {
-                self.list.every = 0.5;
-                self.list.asked = Some(now);
+                (self.list.every, self.list.asked) = (0.5, Some(now));
                 return;
             }
             ListNews::Changes(facts) => facts,
@@ -419,34 +432,35 @@
                 facts
             }
         };
-        let products = self.products.len();
         for fact in facts {
             let scale = if fact.scale > 0.0 && fact.scale.is_finite() { fact.scale } else { 1.0 };
             // Untold cores: the list's sizes still compare engines; eight cores are a plain machine.
             let told = self.fleet.cores.get(fact.machine.0 as usize).copied().filter(|c| *c > 0.0);
             let cores = told.unwrap_or(8.0 * scale);
-            let known = self.engines.get(&fact.id).filter(|e| e.fact.started == fact.started);
-            if known.is_none() {
-                let out = self.engines.get(&fact.id).map_or(([0.0; 4], 0), |e| (e.threads, e.out));
-                let engine = Engine {
-                    fact: *fact,
-                    cores,
-                    left: vec![f64::INFINITY; products],
-                    filled: now,
-                    bound: (cores / self.fleet.peers).max(1.0),
-                    cut: now,
-                    threads: out.0,
-                    out: out.1,
-                    ghosts: Vec::new(),
-                    lag: Lag::default(),
-                    health: Health::default(),
-                    cold_left: 0.0,
-                };
-                self.engines.insert(fact.id, engine);
-            }
-            if let Some(engine) = self.engines.get_mut(&fact.id) {
-                engine.fact = *fact;
+            let memory_mb = self.fleet.memory_mb.get(fact.machine.0 as usize).copied();
+            let fresh = Engine {
+                fact: *fact,
+                cores,
+                memory_mb: memory_mb.filter(|mb| *mb > 0.0).unwrap_or(f64::INFINITY),
+                held_mb: 0.0,
+                left: vec![f64::INFINITY; self.products.len()],
+                filled: now,
+                bound: (cores / self.fleet.peers).max(1.0),
+                cut: now,
+                threads: [0.0; 4],
+                out: 0,
+                ghosts: Vec::new(),
+                lag: Lag::default(),
+                health: Health::default(),
+                cold_left: 0.0,
+            };
+            let engine = self.engines.entry(fact.id).or_insert_with(|| fresh.clone());
+            // A new start: what was learned of the old process is void, what is still out there is not.
+            if engine.fact.started != fact.started {
+                let (threads, out, held_mb) = (engine.threads, engine.out, engine.held_mb);
+                *engine = Engine { threads, out, held_mb, ..fresh };
             }
+            engine.fact = *fact;
         }
         // Gone engines leave once their last relay is over.
         self.engines.retain(|_, e| e.fact.stage != Stage::Gone || e.out > 0);
@@ -469,15 +483,14 @@
         }
         self.demand[s.product.0].cpu += predicted / 5.0;
         self.demand[s.product.0].gain += self.products[s.product.0].gain / 5.0;
-        self.spent.slice(now).1 += 1.0;
-        if let Some(spent) = &mut self.rationed {
-            spent.slice(now).1 += 1.0;
-        }
+        self.rations.iter_mut().for_each(|spent| spent.slice(now).1 += 1.0);
         if let Some(key) = self.turn_key(s) {
             self.turns.entry(key).or_default().line.push_back(s.id);
         }
         let mut over_allowance = false;
-        if let Some(tenant) = self.tenants.get_mut(s.tenant.0) {
+        if self.tenancy.over_gain < 1.0
+            && let Some(tenant) = self.tenants.get_mut(s.tenant.0)
+        {
             let rate = self.tenancy.allowances[s.tenant.0] / self.fleet.peers;
             let gone = tenant.at.map_or(0.0, |at| (now - at).secs());
             tenant.at = Some(now);
@@ -539,25 +552,16 @@
 
     fn choose(&mut self, now: Moment, s: &Statement, place: Place, predicted: f64) -> Option<EngineId> {
         self.fill(now);
-        let rank = self.rank(s, predicted);
+        let (rank, need) = (self.rank(s, predicted), self.need_mb(s));
         let product = &self.products[s.product.0];
         let p = s.product.0;
         let usual = self.usual(p);
         let listed = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
-        let (mut fit, mut all) = (Vec::new(), 0);
-        for engine in listed.filter(|e| allowed(product, s, e, now)) {
-            all += 1;
-            let health = &engine.health;
-            let benched = health.benched_until.is_some_and(|until| until > now);
-            let trying = health.benched_until.is_some() && health.trial.is_some();
-            if !(benched || trying) {
-                fit.push(engine);
-            }
-        }
+        let all: Vec<&Engine> = listed.filter(|e| allowed(product, s, e, now)).collect();
+        let mut fit: Vec<&Engine> = all.iter().copied().filter(|e| e.health.fit(now)).collect();
         // Most of them bad at once is a common cause, or our own: benching would put the whole load on the rest.
-        if fit.len() * 2 < all {
-            let listed = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
-            fit = listed.filter(|e| allowed(product, s, e, now)).collect();
+        if fit.len() * 2 < all.len() {
+            fit = all;
         }
         let mut best: Option<(f64, EngineId)> = None;
         for engine in fit {
@@ -574,7 +578,10 @@
                 left >= predicted || left >= full * 0.99 || near
             };
             let cold_ok = warmth(self.cold, engine, now) >= 1.0 || engine.cold_left >= usual;
-            if !afford || !cold_ok || engine.running(rank) >= engine.bound {
+            // Past its memory an engine spills, pages or lines statements up, each far worse than holding them here.
+            // Could harm where estimates are far too high at first; the answers' bills correct them.
+            let fits = engine.held_mb <= 0.0 || engine.held_mb + need <= engine.memory_mb / self.fleet.peers;
+            if !(afford && fits && cold_ok) || engine.running(rank) >= engine.bound {
                 continue;
             }
             // One that just failed this statement comes last.
@@ -589,8 +596,8 @@
     }
 
     fn send(&mut self, now: Moment, s: &Statement, id: EngineId, predicted: f64) -> Answer {
-        let rank = self.rank(s, predicted);
-        let product = &self.products[s.product.0];
+        let (rank, need) = (self.rank(s, predicted), self.need_mb(s));
+        let threads = self.products[s.product.0].threads;
         let usual = self.usual(s.product.0);
         let pace = self.fleet.note_pace.map_or(f64::INFINITY, |p| p.secs() * 1.25 + 0.3);
         let engine = self.engines.get_mut(&id).expect("chosen from the table");
@@ -601,22 +608,20 @@
         let floor = if left >= full * 0.99 { f64::NEG_INFINITY } else { left.min(-full) };
         engine.left[s.product.0] = (left - predicted).max(floor);
         engine.cold_left -= usual;
-        engine.threads[rank as usize & 3] += product.threads;
+        engine.threads[rank as usize & 3] += threads;
         engine.out += 1;
+        engine.held_mb += need;
         let lag = engine.lag.now().unwrap_or(1.0);
-        let due = now + Span::from_secs((4.0 * predicted * lag / product.threads + 0.5).min(pace));
+        let due = now + Span::from_secs((4.0 * predicted * lag / threads + 0.5).min(pace));
         engine.health.due = Some(engine.health.due.map_or(due, |d| d.min(due)));
         if engine.health.benched_until.is_some() {
             engine.health.trial = Some(s.id);
         }
         let fact = engine.fact;
         if !s.relays.is_empty() {
-            self.spent.slice(now).2 += 1.0;
-            if let Some(spent) = &mut self.rationed {
-                spent.slice(now).2 += 1.0;
-            }
+            self.rations.iter_mut().for_each(|spent| spent.slice(now).2 += 1.0);
         }
-        if let Some(turn) = self.turn_key(s).and_then(|key| self.turns.get_mut(&key)) {
+        if let Some(turn) = self.turn(s) {
             turn.out = Some(s.id);
         }
         let relay = Relay {
@@ -625,13 +630,19 @@
             cell: fact.cell,
             sent: now,
             charge: Span::from_secs(predicted),
-            threads: product.threads,
+            threads,
+            memory_mb: need,
             rank,
             state: RelayState::Out,
         };
         Answer::Send { relay, limit: None, rank: self.fleet.ranks_heeded.then_some(rank) }
     }
 
+    fn need_mb(&self, s: &Statement) -> f64 {
+        let (needed, estimated) = self.needs[s.product.0];
+        s.memory_mb.max(0.0) * needed / estimated.max(1e-9)
+    }
+
     /// A product's usual CPU. The completed alone are too light where the heavy are denied, which rule 4 would pay
     /// for, so the mean of all that was asked for counts where it is more.
     fn usual(&self, p: usize) -> f64 {
@@ -671,10 +682,11 @@
     }
 
     fn next(&mut self, now: Moment, s: &Statement, o: &Outcome) -> After {
-        if let Some(turn) = self.turn_key(s).and_then(|key| self.turns.get_mut(&key)) {
+        let settle = self.relaying.settle;
+        if let Some(turn) = self.turn(s) {
             turn.out = turn.out.filter(|id| *id != s.id);
             if matches!(o.news, News::TimedOut | News::Reset | News::Cancelled) {
-                turn.rest_until = Some(now + self.relaying.settle);
+                turn.rest_until = Some(now + settle);
             }
         }
         if o.settled {
@@ -693,7 +705,7 @@
     }
 
     fn over(&mut self, s: &Statement) {
-        if let Some(turn) = self.turn_key(s).and_then(|key| self.turns.get_mut(&key)) {
+        if let Some(turn) = self.turn(s) {
             turn.line.retain(|id| *id != s.id);
         }
     }
@@ -712,6 +724,10 @@
         if harmless { Answer::Deny { come_back: self.relaying.come_back } } else { Answer::Scrap }
     }
 
+    fn turn(&mut self, s: &Statement) -> Option<&mut Turn> {
+        self.turn_key(s).and_then(|key| self.turns.get_mut(&key))
+    }
+
     fn turn_key(&self, s: &Statement) -> Option<OrderKey> {
         s.key.filter(|_| self.products[s.product.0].in_turn)
     }
@@ -723,13 +739,8 @@
         first && turn.out.is_none() && rested
     }
 
-    /// Retries must not feed a jam, so beyond the stated ration the module sets one of its own.
     fn may_relay_again(&mut self, now: Moment) -> bool {
-        let stated = match (&mut self.rationed, self.relaying.ration) {
-            (Some(spent), Some(ration)) => spent.room(now, ration.free, ration.share),
-            _ => true,
-        };
-        stated && self.spent.room(now, 5.0, 0.2)
+        self.rations.iter_mut().all(|spent| spent.room(now))
     }
 
     fn ask_list(&mut self, now: Moment) -> (Option<ListAsk>, f64) {
@@ -788,7 +799,7 @@
     let (Some(lag), Some(best)) = (engine.lag.now(), engine.lag.best) else { return };
     if lag <= best * NEAR {
         if engine.running(0) + threads >= engine.bound * 0.7 {
-            engine.bound = (engine.bound + 0.15 * threads).min(engine.cores * WIDEST.min(2.0 / peers));
+            engine.bound = (engine.bound + 0.15 * threads).min(engine.cores * WIDEST / peers);
         }
     } else if lag > best * JAMMED && (now - engine.cut).secs() > 0.5 {
         engine.bound = (engine.bound * 0.85).max(1.0);
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -49,7 +49,8 @@
 const COLD_S: f64 = 10.0;
 
 fn policy(seed: u64, products: &[Product], ration: Option<Ration>) -> Policy {
-    let fleet = Fleet { peers: PEERS, cores: vec![CORES], note_pace: Some(span(2.0)), ranks_heeded: true };
+    let (cores, memory_mb, note_pace) = (vec![CORES], vec![1000.0], Some(span(2.0)));
+    let fleet = Fleet { peers: PEERS, cores, memory_mb, note_pace, ranks_heeded: true };
     let cold = ColdStart { share: 0.3, warm_after: span(COLD_S), multiple: 2.0, window: span(1.0) };
     let come_back = Some(span(0.5));
     let relaying = Relaying { most: 4, cancel: true, come_back, settle: span(0.7), ration };
@@ -255,7 +256,7 @@
             match (bad(engine), silent) {
                 (true, true) => {}
                 (true, false) => self.outcome(id, News::Error),
-                (false, _) => self.outcome(id, News::Completed { cpu: Some(span(0.05)) }),
+                (false, _) => self.outcome(id, News::Completed { cpu: Some(span(0.05)), memory_mb: None }),
             }
         }
         self.ask_line();
@@ -312,7 +313,7 @@
             if late {
                 world.outcome(id, News::TimedOut);
             } else if rng.random::<f64>() < 0.1 {
-                let done = News::Completed { cpu: Some(span(work)) };
+                let done = News::Completed { cpu: Some(span(work)), memory_mb: None };
                 world.outcome(id, if rng.random::<f64>() < bad { failed } else { done });
             }
         }
@@ -350,7 +351,7 @@
 
 fn complete(world: &mut World, id: StatementId, cpu: f64, after: f64) {
     world.now += after;
-    world.outcome(id, News::Completed { cpu: Some(span(cpu)) });
+    world.outcome(id, News::Completed { cpu: Some(span(cpu)), memory_mb: None });
 }
 
 #[test]
@@ -432,6 +433,19 @@
     assert!(send(&mut world, 0, 0.05).is_some(), "but not the light");
 }
 
+#[test]
+fn running_statements_stay_within_the_gateways_share_of_memory() {
+    let mut world = World::new(1, vec![product(Effect::Idempotent)], &[engine(0, None)], None);
+    let mut sent = 0;
+    for _ in 0..4 {
+        let id = world.take(0, None, 0.1);
+        world.hand.get_mut(&id).unwrap().s.memory_mb = 300.0;
+        world.ask_line();
+        sent += world.hand[&id].s.relays.len();
+    }
+    assert!((1..=2).contains(&sent), "{sent}");
+}
+
 #[test]
 fn what_cannot_finish_usefully_is_denied_at_once() {
     let mut world = World::new(1, vec![product(Effect::Idempotent)], &[engine(0, None)], None);
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -162,10 +162,11 @@
                 self.outcome(now, id, fields.u16(11), news, 0.0, false, actions);
             }
             50 => {
-                let cpu = fields.u32(27) >> 12;
+                let (cpu, steps) = (fields.u32(27) >> 12, fields.u32(27) & 0xfff);
                 let cpu = (self.bills && cpu > 0).then(|| Span::from_secs(f64::from(cpu) / 1e3));
+                let memory_mb = (self.bills && steps > 0).then(|| f64::from(steps) * 4.0);
                 let news = match fields.u8(17) {
-                    10 => News::Completed { cpu },
+                    10 => News::Completed { cpu, memory_mb },
                     20 => News::Error,
                     30 => News::TurnedAway,
                     40 => News::TimedOut,
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -133,6 +133,7 @@
         let fleet = Fleet {
             peers: self.need::<u32>("PeersTotal")?.max(1).into(),
             cores: self.numbers("Extra.KindCores")?,
+            memory_mb: self.numbers("Extra.MemoryByKindMb")?,
             note_pace: self.span("Extra.ProgressPaceS")?.filter(|pace| *pace > Span::ZERO),
             ranks_heeded: self.may("Extra.RanksHeeded")?.unwrap_or(false),
         };
