--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -30,6 +30,13 @@
     }
 }
 
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, other: Span) -> Span {
+        Span(self.0 - other.0)
+    }
+}
+
 impl Add<Span> for Moment {
     type Output = Moment;
     fn add(self, span: Span) -> Moment {
@@ -212,7 +219,8 @@
 pub struct Place {
     pub by: Moment,
     pub id: StatementId,
-    pub over_allowance: bool,
+    /// Over its tenant's allowance, or a client's further try whose quoted time is over.
+    pub little_gain: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -260,6 +260,8 @@
     cold: Option<ColdStart>,
     relaying: Relaying,
     costs: Costs,
+    /// The longest time a client has given a statement, by product: that of first tries.
+    budgets: Vec<Span>,
     /// Smoothed memory needed and estimated, by product.
     needs: Vec<(f64, f64)>,
     engines: BTreeMap<EngineId, Engine>,
@@ -288,6 +290,7 @@
             demand_at: None,
             tenants: tenancy.allowances.iter().map(|a| Tenant { left: *a, at: None }).collect(),
             costs: Costs { prints: BTreeMap::new(), usual: vec![(0.0, 0.0); products.len()], uses: 0 },
+            budgets: vec![Span::ZERO; products.len()],
             needs: vec![(1.0, 1.0); products.len()],
             engines: BTreeMap::new(),
             turns: BTreeMap::new(),
@@ -315,8 +318,11 @@
         // An answer that comes when it earns nothing only takes cores from those that still can.
         let best = median(self.engines.values().filter_map(|e| e.lag.best).collect()).unwrap_or(1.0);
         let alone = predicted / product.threads * best;
-        let quoted = product.quoted.secs() + product.quoted_stretch * predicted / product.threads;
-        let useful = if product.late_gain > 0.0 { left } else { left.min(quoted - (now - s.taken).secs()) };
+        let useful = if product.late_gain > 0.0 {
+            left
+        } else {
+            left.min(quoted(product, predicted) - (now - s.taken).secs())
+        };
         if left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || alone * 0.7 > useful {
             return self.give_up(now, s);
         }
@@ -487,7 +493,7 @@
         if let Some(key) = self.turn_key(s) {
             self.turns.entry(key).or_default().line.push_back(s.id);
         }
-        let mut over_allowance = false;
+        let mut little_gain = false;
         if self.tenancy.over_gain < 1.0
             && let Some(tenant) = self.tenants.get_mut(s.tenant.0)
         {
@@ -495,12 +501,19 @@
             let gone = tenant.at.map_or(0.0, |at| (now - at).secs());
             tenant.at = Some(now);
             tenant.left = (tenant.left + gone * rate).min(rate.max(1.0));
-            over_allowance = rate > 0.0 && tenant.left < 1.0;
-            if !over_allowance {
+            little_gain = rate > 0.0 && tenant.left < 1.0;
+            if !little_gain {
                 tenant.left -= 1.0;
             }
         }
-        Place { by: s.hard_limit, id: s.id, over_allowance }
+        // A client's further try comes with less time left, so it would be first in line, though its quoted time,
+        // counted from the first try, may be over: a surge would then be spent on answers that earn nothing.
+        let (budget, product) = (s.hard_limit - s.taken, &self.products[s.product.0]);
+        self.budgets[s.product.0] = self.budgets[s.product.0].max(budget);
+        let further = budget.secs() < self.budgets[s.product.0].secs() * 0.98;
+        let gone = if further { (product.hard_limit - budget).secs() } else { 0.0 };
+        little_gain |= product.late_gain <= 0.0 && gone > quoted(product, predicted);
+        Place { by: s.hard_limit, id: s.id, little_gain }
     }
 
     /// Shares follow predicted demand, the best gain per CPU second first: pressure falls on heavy work.
@@ -572,7 +585,7 @@
                 (Some(lag), Some(best)) => lag <= best * NEAR,
                 _ => true,
             };
-            let afford = if place.over_allowance {
+            let afford = if place.little_gain {
                 left >= predicted + full * 0.5
             } else {
                 left >= predicted || left >= full * 0.99 || near
@@ -655,14 +668,11 @@
         if !self.fleet.ranks_heeded {
             return USUAL_RANK;
         }
-        let quoted = |p: usize, cpu: f64| {
-            let product = &self.products[p];
-            product.quoted.secs() + product.quoted_stretch * cpu / product.threads
-        };
         let total: f64 = self.demand.iter().map(|d| d.cpu).sum::<f64>().max(1e-9);
-        let usual: f64 =
-            (0..self.products.len()).map(|p| quoted(p, self.usual(p)) * self.demand[p].cpu / total).sum();
-        let part = quoted(s.product.0, predicted) / usual.max(1e-9);
+        let usual: f64 = (0..self.products.len())
+            .map(|p| quoted(&self.products[p], self.usual(p)) * self.demand[p].cpu / total)
+            .sum();
+        let part = quoted(&self.products[s.product.0], predicted) / usual.max(1e-9);
         [0.5, 0.8, 1.6].iter().filter(|edge| part < **edge).count() as u8
     }
 
@@ -763,6 +773,10 @@
     }
 }
 
+fn quoted(product: &Product, cpu: f64) -> f64 {
+    product.quoted.secs() + product.quoted_stretch * cpu / product.threads
+}
+
 /// Part of the multiple of a cold engine's present capacity that all gateways together may reach.
 const COLD_PART: f64 = 0.4;
 
