--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -219,8 +219,9 @@
 pub struct Place {
     pub by: Moment,
     pub id: StatementId,
-    /// Over its tenant's allowance, or a client's further try whose quoted time is over.
-    pub little_gain: bool,
+    pub over_allowance: bool,
+    /// What a client's earlier tries have used of its quoted time.
+    pub spent: Span,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -493,7 +493,7 @@
         if let Some(key) = self.turn_key(s) {
             self.turns.entry(key).or_default().line.push_back(s.id);
         }
-        let mut little_gain = false;
+        let mut over_allowance = false;
         if self.tenancy.over_gain < 1.0
             && let Some(tenant) = self.tenants.get_mut(s.tenant.0)
         {
@@ -501,19 +501,17 @@
             let gone = tenant.at.map_or(0.0, |at| (now - at).secs());
             tenant.at = Some(now);
             tenant.left = (tenant.left + gone * rate).min(rate.max(1.0));
-            little_gain = rate > 0.0 && tenant.left < 1.0;
-            if !little_gain {
+            over_allowance = rate > 0.0 && tenant.left < 1.0;
+            if !over_allowance {
                 tenant.left -= 1.0;
             }
         }
-        // A client's further try comes with less time left, so it would be first in line, though its quoted time,
-        // counted from the first try, may be over: a surge would then be spent on answers that earn nothing.
+        // A client's further try comes with less time left.
         let (budget, product) = (s.hard_limit - s.taken, &self.products[s.product.0]);
         self.budgets[s.product.0] = self.budgets[s.product.0].max(budget);
         let further = budget.secs() < self.budgets[s.product.0].secs() * 0.98;
-        let gone = if further { (product.hard_limit - budget).secs() } else { 0.0 };
-        little_gain |= product.late_gain <= 0.0 && gone > quoted(product, predicted);
-        Place { by: s.hard_limit, id: s.id, little_gain }
+        let spent = if further { product.hard_limit - budget } else { Span::ZERO };
+        Place { by: s.hard_limit, id: s.id, over_allowance, spent }
     }
 
     /// Shares follow predicted demand, the best gain per CPU second first: pressure falls on heavy work.
@@ -569,6 +567,11 @@
         let product = &self.products[s.product.0];
         let p = s.product.0;
         let usual = self.usual(p);
+        // The client's earlier tries have used up its quoted time. Having less time left, it would even be first in
+        // line, and in a surge engines would do nothing else: only spare room. Could harm where late answers count
+        // though the settings say that they gain nothing.
+        let spent = (now - s.taken).secs() + place.spent.secs() + predicted / product.threads;
+        let late = product.late_gain <= 0.0 && spent > quoted(product, predicted);
         let listed = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
         let all: Vec<&Engine> = listed.filter(|e| allowed(product, s, e, now)).collect();
         let mut fit: Vec<&Engine> = all.iter().copied().filter(|e| e.health.fit(now)).collect();
@@ -585,7 +588,9 @@
                 (Some(lag), Some(best)) => lag <= best * NEAR,
                 _ => true,
             };
-            let afford = if place.little_gain {
+            let afford = if late {
+                engine.running(0) < engine.bound * 0.5
+            } else if place.over_allowance {
                 left >= predicted + full * 0.5
             } else {
                 left >= predicted || left >= full * 0.99 || near
