Hold over-allowance and late further tries to spare room; judge allowances by the least exceeded

Told from plain overload by one tenant's ratio to its allowance standing far over the others'. Could harm a gateway whose clients all belong to one surging tenant's neighbours with little traffic.

--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -60,17 +60,13 @@
     /// An unseen fingerprint borrows the others' median k. Estimates lie too high or low by product, so those of
     /// the same product come first.
     fn predict(&self, s: &Statement) -> f64 {
-        let k = match self.prints.get(&(s.product, s.group)) {
-            Some(cost) => cost.cpu / cost.estimate,
-            None => {
-                let all = |own: bool| -> Vec<f64> {
-                    let of = self.prints.iter().filter(|(print, _)| !own || print.0 == s.product);
-                    of.map(|(_, cost)| cost.cpu / cost.estimate).collect()
-                };
-                let own = all(true);
-                median(if own.is_empty() { all(false) } else { own }).unwrap_or(1.0)
-            }
+        let ratio = |cost: &Cost| cost.cpu / cost.estimate;
+        let others = |own: bool| {
+            let of = self.prints.iter().filter(|(print, _)| !own || print.0 == s.product);
+            median(of.map(|(_, cost)| ratio(cost)).collect())
         };
+        let seen = self.prints.get(&(s.product, s.group)).map(ratio);
+        let k = seen.or_else(|| others(true)).or_else(|| others(false)).unwrap_or(1.0);
         (self.estimate(s) * k).clamp(1e-4, 1e5)
     }
 
@@ -121,8 +117,8 @@
         self.latency = self.latency * keep + thread_s;
         self.cpu = self.cpu * keep + cpu;
         self.best = self.best.map(|best| best * (1.0 + Self::FORGET_PER_S * gone));
+        let seen = self.latency / self.cpu.max(1e-9);
         if self.cpu > 8.0 * Self::ENOUGH_S {
-            let seen = self.latency / self.cpu;
             self.best = Some(self.best.map_or(seen, |best| best.min(seen)));
         }
     }
@@ -130,6 +126,10 @@
     fn now(&self) -> Option<f64> {
         (self.cpu > Self::ENOUGH_S).then(|| self.latency / self.cpu)
     }
+
+    fn over_best(&self) -> Option<f64> {
+        Some(self.now()? / self.best?)
+    }
 }
 
 /// Judged by failures in a row and by silence past when something was due.
@@ -184,8 +184,7 @@
     fn bench(&mut self, now: Moment) {
         self.health.bench = (self.health.bench * 2.0).clamp(1.0, 8.0);
         self.health.benched_until = Some(now + Span::from_secs(self.health.bench));
-        self.health.trial = None;
-        self.health.due = None;
+        (self.health.trial, self.health.due) = (None, None);
     }
 
     fn heard(&mut self, now: Moment, pace: f64) {
@@ -230,7 +229,6 @@
     }
 }
 
-/// The engine list: asked for again when a call failed or the answer stays away.
 struct List {
     terms: Listing,
     asked: Option<Moment>,
@@ -244,8 +242,13 @@
     share: f64,
 }
 
+impl Demand {
+    const MEMORY_S: f64 = 5.0;
+}
+
 struct Tenant {
     left: f64,
+    rate: f64,
     at: Option<Moment>,
 }
 
@@ -256,6 +259,7 @@
     demand_at: Option<Moment>,
     tenancy: Tenancy,
     tenants: Vec<Tenant>,
+    lopsided: f64,
     fleet: Fleet,
     cold: Option<ColdStart>,
     relaying: Relaying,
@@ -288,7 +292,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             demand: products.iter().map(|_| Demand { cpu: 0.0, gain: 0.0, share }).collect(),
             demand_at: None,
-            tenants: tenancy.allowances.iter().map(|a| Tenant { left: *a, at: None }).collect(),
+            tenants: tenancy.allowances.iter().map(|a| Tenant { left: *a, rate: 0.0, at: None }).collect(),
             costs: Costs { prints: BTreeMap::new(), usual: vec![(0.0, 0.0); products.len()], uses: 0 },
             budgets: vec![Span::ZERO; products.len()],
             needs: vec![(1.0, 1.0); products.len()],
@@ -298,6 +302,7 @@
             list: List { terms: listing, asked: None, every: 0.0 },
             products,
             tenancy,
+            lopsided: 1.0,
             fleet,
             cold,
             relaying,
@@ -306,9 +311,7 @@
 
     /// Where to send this statement. The first ask takes it and gives its place in line.
     pub fn place(&mut self, now: Moment, s: &Statement) -> Answer {
-        let Some(place) = s.place else {
-            return Answer::NotYet(self.take(now, s));
-        };
+        let Some(place) = s.place else { return Answer::NotYet(self.take(now, s)) };
         if s.relays.iter().any(|r| r.state == RelayState::Out) {
             return Answer::NotYet(place);
         }
@@ -327,8 +330,7 @@
             return self.give_up(now, s);
         }
         let (hold, turn) = (product.hard_limit.secs() * HOLD, self.in_turn(now, s));
-        let retry = !s.relays.is_empty();
-        if retry && !self.may_relay_again(now) {
+        if !s.relays.is_empty() && !self.may_relay_again(now) {
             return self.give_up(now, s);
         }
         if turn && let Some(id) = self.choose(now, s, place, predicted) {
@@ -345,20 +347,14 @@
         let predicted = self.costs.predict(s);
         let (threads, rank, charge) = (relay.threads, relay.rank as usize & 3, relay.charge.secs());
         let pace = self.fleet.note_pace.map_or(3.0 * predicted + 1.0, |p| p.secs() * 1.25 + 0.3);
-        let Some(engine) = self.engines.get_mut(&relay.engine) else {
-            return self.next(now, s, o);
-        };
-        match o.news {
-            News::Progress(_) | News::Strained | News::Streaming => {
-                engine.heard(now, pace);
-                return self.noted(now, s, relay, o);
-            }
-            _ => {
-                engine.threads[rank] = (engine.threads[rank] - threads).max(0.0);
-                engine.out = engine.out.saturating_sub(1);
-                engine.held_mb = (engine.held_mb - relay.memory_mb).max(0.0);
-            }
-        }
+        let Some(engine) = self.engines.get_mut(&relay.engine) else { return self.next(now, s, o) };
+        if matches!(o.news, News::Progress(_) | News::Strained | News::Streaming) {
+            engine.heard(now, pace);
+            return self.noted(now, s, relay, o);
+        }
+        engine.threads[rank] = (engine.threads[rank] - threads).max(0.0);
+        engine.out = engine.out.saturating_sub(1);
+        engine.held_mb = (engine.held_mb - relay.memory_mb).max(0.0);
         let tried = engine.health.trial == Some(s.id);
         match o.news {
             News::Completed { cpu, memory_mb } => {
@@ -380,8 +376,7 @@
                 engine.heard(now, pace);
                 engine.left[s.product.0] += charge;
                 if o.news == News::TurnedAway {
-                    engine.bound = (engine.bound * 0.8).max(1.0);
-                    engine.cut = now;
+                    (engine.bound, engine.cut) = ((engine.bound * 0.8).max(1.0), now);
                 }
             }
             // The charge stays: an engine that fails fast would otherwise look the emptiest and draw the rest.
@@ -417,9 +412,8 @@
         }
         self.turns
             .retain(|_, t| !t.line.is_empty() || t.out.is_some() || t.rest_until.is_some_and(|r| r > now));
-        let (list, again) = self.ask_list(now);
-        let wait = if held > 0 { 0.02 } else { 0.25_f64.min(again) };
-        Pause { wait: Span::from_secs(wait), probe: Vec::new(), list }
+        let wait = Span::from_secs(if held > 0 { 0.02 } else { 0.25 });
+        Pause { wait, probe: Vec::new(), list: self.ask_list(now) }
     }
 
     /// The engine list, whole or in changes.
@@ -483,29 +477,15 @@
         let predicted = self.costs.predict(s);
         let gone = self.demand_at.map_or(0.0, |at| (now - at).secs());
         self.demand_at = Some(now);
-        for demand in &mut self.demand {
-            demand.cpu *= (-gone / 5.0).exp();
-            demand.gain *= (-gone / 5.0).exp();
-        }
-        self.demand[s.product.0].cpu += predicted / 5.0;
-        self.demand[s.product.0].gain += self.products[s.product.0].gain / 5.0;
+        let keep = (-gone / Demand::MEMORY_S).exp();
+        self.demand.iter_mut().for_each(|d| (d.cpu, d.gain) = (d.cpu * keep, d.gain * keep));
+        self.demand[s.product.0].cpu += predicted / Demand::MEMORY_S;
+        self.demand[s.product.0].gain += self.products[s.product.0].gain / Demand::MEMORY_S;
         self.rations.iter_mut().for_each(|spent| spent.slice(now).1 += 1.0);
         if let Some(key) = self.turn_key(s) {
             self.turns.entry(key).or_default().line.push_back(s.id);
         }
-        let mut over_allowance = false;
-        if self.tenancy.over_gain < 1.0
-            && let Some(tenant) = self.tenants.get_mut(s.tenant.0)
-        {
-            let rate = self.tenancy.allowances[s.tenant.0] / self.fleet.peers;
-            let gone = tenant.at.map_or(0.0, |at| (now - at).secs());
-            tenant.at = Some(now);
-            tenant.left = (tenant.left + gone * rate).min(rate.max(1.0));
-            over_allowance = rate > 0.0 && tenant.left < 1.0;
-            if !over_allowance {
-                tenant.left -= 1.0;
-            }
-        }
+        let over_allowance = self.over_allowance(now, s.tenant);
         // A client's further try comes with less time left.
         let (budget, product) = (s.hard_limit - s.taken, &self.products[s.product.0]);
         self.budgets[s.product.0] = self.budgets[s.product.0].max(budget);
@@ -514,12 +494,34 @@
         Place { by: s.hard_limit, id: s.id, over_allowance, spent }
     }
 
+    /// Whether its tenant sends more than its allowance, as far as one gateway can tell. One that carries more than
+    /// 1/peers of the traffic sees every tenant over: what the least of them is over is the gateway's own doing.
+    fn over_allowance(&mut self, now: Moment, tenant: TenantId) -> bool {
+        let allowances = self.tenancy.allowances.iter().map(|a| a / self.fleet.peers);
+        if tenant.0 >= self.tenants.len() || self.tenancy.over_gain >= 1.0 {
+            return false;
+        }
+        for (at, (t, allowed)) in self.tenants.iter_mut().zip(allowances.clone()).enumerate() {
+            let gone = (now - t.at.replace(now).unwrap_or(now)).secs();
+            t.rate = t.rate * (-gone / 3.0).exp() + if at == tenant.0 { 1.0 / 3.0 } else { 0.0 };
+            t.left = (t.left + gone * allowed * self.lopsided).min((allowed * self.lopsided).max(1.0));
+        }
+        let all: f64 = self.tenants.iter().map(|t| t.rate).sum();
+        let seen = self.tenants.iter().zip(allowances).filter(|(t, _)| t.rate > 0.05 * all);
+        let least = seen.map(|(t, allowed)| t.rate / allowed.max(1e-6)).fold(f64::INFINITY, f64::min);
+        self.lopsided = (least * 1.2).clamp(1.0, self.fleet.peers);
+        let tenant = &mut self.tenants[tenant.0];
+        let over = tenant.left < 1.0;
+        tenant.left -= if over { 0.0 } else { 1.0 };
+        over
+    }
+
     /// Shares follow predicted demand, the best gain per CPU second first: pressure falls on heavy work.
     fn share_out(&mut self, now: Moment) {
         let gone = self.demand_at.map_or(0.0, |at| (now - at).secs());
         let ready = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
         let capacity = ready.map(|e| e.cores).sum::<f64>() / self.fleet.peers;
-        let wanted: Vec<f64> = self.demand.iter().map(|d| d.cpu * (-gone / 5.0).exp()).collect();
+        let wanted: Vec<f64> = self.demand.iter().map(|d| d.cpu * (-gone / Demand::MEMORY_S).exp()).collect();
         if capacity <= 0.0 || wanted.iter().sum::<f64>() <= 0.0 {
             return;
         }
@@ -529,15 +531,13 @@
         let mut order: Vec<usize> = (0..wanted.len()).collect();
         order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
         let mut left = 1.0;
-        let mut shares = vec![0.0; wanted.len()];
         for p in order {
-            shares[p] = (wanted[p] * 1.3 / capacity).min(left);
-            left -= shares[p];
-        }
-        let given: f64 = shares.iter().sum::<f64>().max(1e-6);
-        for (demand, share) in self.demand.iter_mut().zip(&shares) {
-            demand.share = (share + left * share / given).max(0.02);
+            self.demand[p].share = (wanted[p] * 1.3 / capacity).min(left);
+            left -= self.demand[p].share;
         }
+        // What nobody asked for goes to all alike, and a trickle to everyone.
+        let given = (1.0 - left).max(1e-6);
+        self.demand.iter_mut().for_each(|d| d.share = (d.share / given).max(0.02));
     }
 
     fn fill(&mut self, now: Moment) {
@@ -554,10 +554,9 @@
                 let full = own * share * BURST_S * warmth;
                 *left = (*left + own * share * speed * gone).min(full);
             }
-            if let Some(cold) = self.cold {
-                let rate = own * warmth * COLD_PART * cold.multiple;
-                engine.cold_left = (engine.cold_left + rate * gone).min(rate * cold.window.secs() * 0.5);
-            }
+            let Some(cold) = self.cold else { continue };
+            let rate = own * warmth * COLD_PART * cold.multiple;
+            engine.cold_left = (engine.cold_left + rate * gone).min(rate * cold.window.secs() * 0.5);
         }
     }
 
@@ -584,14 +583,9 @@
             let own = engine.cores / self.fleet.peers;
             let full = own * self.demand[p].share * BURST_S * warmth(self.cold, engine, now);
             let left = engine.left[p];
-            let near = match (engine.lag.now(), engine.lag.best) {
-                (Some(lag), Some(best)) => lag <= best * NEAR,
-                _ => true,
-            };
-            let afford = if late {
-                engine.running(0) < engine.bound * 0.5
-            } else if place.over_allowance {
-                left >= predicted + full * 0.5
+            let near = engine.lag.over_best().is_none_or(|over| over <= NEAR);
+            let afford = if late || place.over_allowance {
+                left >= predicted + full * 0.5 && engine.running(0) < engine.bound * 0.5
             } else {
                 left >= predicted || left >= full * 0.99 || near
             };
@@ -603,9 +597,8 @@
                 continue;
             }
             // One that just failed this statement comes last.
-            let again = s.relays.iter().any(|r| r.engine == engine.fact.id);
-            let score =
-                left / full.max(1e-9) - if again { 1e3 } else { 0.0 } + self.rng.random::<f64>() * 0.01;
+            let last = if s.relays.iter().any(|r| r.engine == engine.fact.id) { 1e3 } else { 0.0 };
+            let score = left / full.max(1e-9) - last + self.rng.random::<f64>() * 0.01;
             if best.is_none_or(|(most, _)| score > most) {
                 best = Some((score, engine.fact.id));
             }
@@ -758,23 +751,19 @@
         self.rations.iter_mut().all(|spent| spent.room(now))
     }
 
-    fn ask_list(&mut self, now: Moment) -> (Option<ListAsk>, f64) {
+    /// Asks again when a call failed or its answer stays away; spread by chance, or every gateway that lost its
+    /// subscription would ask in the same instant.
+    fn ask_list(&mut self, now: Moment) -> Option<ListAsk> {
         let list = &mut self.list;
-        if !list.terms.on_request {
-            return (None, f64::INFINITY);
-        }
-        let Some(asked) = list.asked else {
-            list.asked = Some(now);
-            list.every = list.terms.ask_within.secs() * 0.4;
-            return (Some(ListAsk::Subscribe), 0.25);
-        };
-        // Spread by chance, or every gateway that lost its subscription would ask in the same instant.
-        if list.every > 0.0 && (now - asked).secs() >= list.every {
-            list.asked = Some(now);
-            list.every = (list.every * (1.5 + self.rng.random::<f64>())).min(list.terms.ask_within.secs());
-            return (Some(ListAsk::Subscribe), 0.25);
+        let first = list.asked.is_none();
+        let again = list.every > 0.0 && list.asked.is_some_and(|asked| (now - asked).secs() >= list.every);
+        if !list.terms.on_request || !(first || again) {
+            return None;
         }
-        (None, 0.25)
+        let longest = list.terms.ask_within.secs() * 0.4;
+        list.asked = Some(now);
+        list.every = if first { longest } else { longest.min(list.every * (1.5 + self.rng.random::<f64>())) };
+        Some(ListAsk::Subscribe)
     }
 }
 
@@ -815,13 +804,12 @@
 
 /// The thread bound follows latency per CPU second, and only an outcome that met the bound may widen it.
 fn widen_or_shrink(engine: &mut Engine, now: Moment, threads: f64, peers: f64) {
-    let (Some(lag), Some(best)) = (engine.lag.now(), engine.lag.best) else { return };
-    if lag <= best * NEAR {
+    let Some(over) = engine.lag.over_best() else { return };
+    if over <= NEAR {
         if engine.running(0) + threads >= engine.bound * 0.7 {
             engine.bound = (engine.bound + 0.15 * threads).min(engine.cores * WIDEST / peers);
         }
-    } else if lag > best * JAMMED && (now - engine.cut).secs() > 0.5 {
-        engine.bound = (engine.bound * 0.85).max(1.0);
-        engine.cut = now;
+    } else if over > JAMMED && (now - engine.cut).secs() > 0.5 {
+        (engine.bound, engine.cut) = ((engine.bound * 0.85).max(1.0), now);
     }
 }
