--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -128,7 +128,7 @@
     }
 
     fn over_best(&self) -> Option<f64> {
-        Some(self.now()? / self.best?)
+        Some(self.now()? / self.best?.max(1e-6))
     }
 }
 
