Fill shares by bands of gain per CPU second; the near-best exception asks their price

Also catches floods of costly statements; could harm where gains told do not follow what users value.

--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -34,6 +34,8 @@
 const WEIGHTS: [f64; 4] = [1.0, 4.0, 8.0, 16.0];
 /// The rank of everything where ranks are not heeded.
 const USUAL_RANK: u8 = 1;
+/// Part of the multiple of a cold engine's present capacity that all gateways together may reach.
+const COLD_PART: f64 = 0.4;
 /// Failures in a row that bench an engine.
 const FAILURES: u32 = 3;
 
@@ -83,8 +85,8 @@
         *seen = (*seen + 1.0).min(200.0);
         *mean += (cpu.min(1e4) - *mean) / *seen;
         if self.prints.len() > FINGERPRINTS {
-            let oldest = self.prints.iter().min_by_key(|(_, c)| c.used).map(|(print, _)| *print);
-            oldest.map(|print| self.prints.remove(&print));
+            let oldest = self.prints.iter().min_by_key(|(_, c)| c.used);
+            oldest.map(|(print, _)| *print).map(|print| self.prints.remove(&print));
         }
     }
 }
@@ -142,13 +144,6 @@
     trial: Option<StatementId>,
 }
 
-impl Health {
-    /// A benched engine gets one trial statement when its spell is over.
-    fn fit(&self, now: Moment) -> bool {
-        self.benched_until.is_none_or(|until| until <= now && self.trial.is_none())
-    }
-}
-
 #[derive(Clone)]
 struct Engine {
     fact: EngineFact,
@@ -180,11 +175,16 @@
         live + self.ghosts.iter().map(|g| met(g.2 as usize & 3, g.1)).sum::<f64>()
     }
 
+    /// What a full bucket of a product with this share holds.
+    fn full(&self, share: f64, peers: f64) -> f64 {
+        self.cores / peers * share * BURST_S
+    }
+
     /// Failed answers in a row, or none when one was due, take the engine out for a spell that doubles.
     fn bench(&mut self, now: Moment) {
         self.health.bench = (self.health.bench * 2.0).clamp(1.0, 8.0);
         self.health.benched_until = Some(now + Span::from_secs(self.health.bench));
-        (self.health.trial, self.health.due) = (None, None);
+        (self.health.trial, self.health.due, self.health.failures) = (None, None, 0);
     }
 
     fn heard(&mut self, now: Moment, pace: f64) {
@@ -229,21 +229,28 @@
     }
 }
 
-struct List {
-    terms: Listing,
-    asked: Option<Moment>,
-    every: f64,
-}
-
 /// Predicted CPU seconds and gain asked for a second, smoothed, and the product's share of each engine.
 struct Demand {
     cpu: f64,
     gain: f64,
     share: f64,
+    /// CPU and gain within allowances, by band: each band's statements cost twice those of the one before.
+    bands: [(f64, f64); Demand::BANDS],
 }
 
 impl Demand {
     const MEMORY_S: f64 = 5.0;
+    const BANDS: usize = 16;
+
+    fn band(cpu: f64) -> usize {
+        (cpu.max(1e-6).log2() + 7.0).clamp(0.0, Self::BANDS as f64 - 1.0) as usize
+    }
+
+    fn fade(&mut self, gone: f64) {
+        let keep = (-gone / Self::MEMORY_S).exp();
+        self.bands.iter_mut().for_each(|band| *band = (band.0 * keep, band.1 * keep));
+        (self.cpu, self.gain) = (self.cpu * keep, self.gain * keep);
+    }
 }
 
 struct Tenant {
@@ -257,6 +264,9 @@
     products: Vec<Product>,
     demand: Vec<Demand>,
     demand_at: Option<Moment>,
+    /// True CPU seconds completed a second, smoothed.
+    delivered: f64,
+    price: f64,
     tenancy: Tenancy,
     tenants: Vec<Tenant>,
     lopsided: f64,
@@ -271,7 +281,9 @@
     engines: BTreeMap<EngineId, Engine>,
     turns: BTreeMap<OrderKey, Turn>,
     rations: Vec<Spent>,
-    list: List,
+    listing: Listing,
+    /// When the engine list was last asked for, and how soon it is again unless an answer comes.
+    asked: (Option<Moment>, f64),
 }
 
 impl Policy {
@@ -290,8 +302,13 @@
         let rations = [own].into_iter().chain(relaying.ration);
         Policy {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            demand: products.iter().map(|_| Demand { cpu: 0.0, gain: 0.0, share }).collect(),
+            demand: products
+                .iter()
+                .map(|_| Demand { cpu: 0.0, gain: 0.0, share, bands: Default::default() })
+                .collect(),
             demand_at: None,
+            delivered: 0.0,
+            price: 0.0,
             tenants: tenancy.allowances.iter().map(|a| Tenant { left: *a, rate: 0.0, at: None }).collect(),
             costs: Costs { prints: BTreeMap::new(), usual: vec![(0.0, 0.0); products.len()], uses: 0 },
             budgets: vec![Span::ZERO; products.len()],
@@ -299,7 +316,8 @@
             engines: BTreeMap::new(),
             turns: BTreeMap::new(),
             rations: rations.map(|terms| Spent { terms, slices: VecDeque::new() }).collect(),
-            list: List { terms: listing, asked: None, every: 0.0 },
+            listing,
+            asked: (None, 0.0),
             products,
             tenancy,
             lopsided: 1.0,
@@ -326,11 +344,9 @@
         } else {
             left.min(quoted(product, predicted) - (now - s.taken).secs())
         };
-        if left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || alone * 0.7 > useful {
-            return self.give_up(now, s);
-        }
+        let hopeless = left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || alone * 0.7 > useful;
         let (hold, turn) = (product.hard_limit.secs() * HOLD, self.in_turn(now, s));
-        if !s.relays.is_empty() && !self.may_relay_again(now) {
+        if hopeless || !s.relays.is_empty() && !self.may_relay_again(now) {
             return self.give_up(now, s);
         }
         if turn && let Some(id) = self.choose(now, s, place, predicted) {
@@ -362,15 +378,14 @@
                 engine.health = Health { due: engine.health.due, ..Health::default() };
                 let true_cpu = cpu.map_or(charge, Span::secs);
                 engine.left[s.product.0] += charge - true_cpu;
+                self.delivered += true_cpu / Demand::MEMORY_S;
                 engine.lag.saw(now, o.latency.secs() * threads, true_cpu);
                 widen_or_shrink(engine, now, threads, self.fleet.peers);
+                cpu.into_iter().for_each(|cpu| self.costs.learn(s, charge, cpu.secs()));
                 if let Some(seen) = memory_mb.filter(|_| s.memory_mb > 0.0) {
                     let needs = &mut self.needs[s.product.0];
                     *needs = (needs.0 * 0.99 + seen, needs.1 * 0.99 + s.memory_mb);
                 }
-                if let Some(cpu) = cpu {
-                    self.costs.learn(s, charge, cpu.secs());
-                }
             }
             News::TurnedAway | News::NeverSent => {
                 engine.heard(now, pace);
@@ -391,7 +406,6 @@
             _ => {}
         }
         if engine.health.failures >= FAILURES || (tried && engine.health.failures > 0) {
-            engine.health.failures = 0;
             engine.bench(now);
         } else if tried {
             engine.health.trial = None;
@@ -418,17 +432,15 @@
 
     /// The engine list, whole or in changes.
     pub fn told_list(&mut self, now: Moment, news: &ListNews) {
-        self.list.every = 0.0;
+        self.asked.1 = 0.0;
         let facts = match news {
             ListNews::Failed => {
-                (self.list.every, self.list.asked) = (0.5, Some(now));
+                self.asked = (Some(now), 0.5);
                 return;
             }
             ListNews::Changes(facts) => facts,
             ListNews::Whole(facts) => {
-                for engine in self.engines.values_mut() {
-                    engine.fact.stage = Stage::Gone;
-                }
+                self.engines.values_mut().for_each(|engine| engine.fact.stage = Stage::Gone);
                 facts
             }
         };
@@ -475,17 +487,19 @@
 
     fn take(&mut self, now: Moment, s: &Statement) -> Place {
         let predicted = self.costs.predict(s);
-        let gone = self.demand_at.map_or(0.0, |at| (now - at).secs());
-        self.demand_at = Some(now);
-        let keep = (-gone / Demand::MEMORY_S).exp();
-        self.demand.iter_mut().for_each(|d| (d.cpu, d.gain) = (d.cpu * keep, d.gain * keep));
-        self.demand[s.product.0].cpu += predicted / Demand::MEMORY_S;
-        self.demand[s.product.0].gain += self.products[s.product.0].gain / Demand::MEMORY_S;
+        let over_allowance = self.over_allowance(now, s.tenant);
+        let (cpu, gain) = (predicted / Demand::MEMORY_S, self.products[s.product.0].gain / Demand::MEMORY_S);
+        self.fade_demand(now);
+        let demand = &mut self.demand[s.product.0];
+        (demand.cpu, demand.gain) = (demand.cpu + cpu, demand.gain + gain);
+        if !over_allowance {
+            let band = &mut demand.bands[Demand::band(predicted)];
+            *band = (band.0 + cpu, band.1 + gain);
+        }
         self.rations.iter_mut().for_each(|spent| spent.slice(now).1 += 1.0);
         if let Some(key) = self.turn_key(s) {
             self.turns.entry(key).or_default().line.push_back(s.id);
         }
-        let over_allowance = self.over_allowance(now, s.tenant);
         // A client's further try comes with less time left.
         let (budget, product) = (s.hard_limit - s.taken, &self.products[s.product.0]);
         self.budgets[s.product.0] = self.budgets[s.product.0].max(budget);
@@ -497,7 +511,8 @@
     /// Whether its tenant sends more than its allowance, as far as one gateway can tell. One that carries more than
     /// 1/peers of the traffic sees every tenant over: what the least of them is over is the gateway's own doing.
     fn over_allowance(&mut self, now: Moment, tenant: TenantId) -> bool {
-        let allowances = self.tenancy.allowances.iter().map(|a| a / self.fleet.peers);
+        let peers = self.fleet.peers;
+        let allowances = self.tenancy.allowances.iter().map(|a| a / peers);
         if tenant.0 >= self.tenants.len() || self.tenancy.over_gain >= 1.0 {
             return false;
         }
@@ -516,28 +531,38 @@
         over
     }
 
-    /// Shares follow predicted demand, the best gain per CPU second first: pressure falls on heavy work.
+    fn fade_demand(&mut self, now: Moment) {
+        let gone = (now - self.demand_at.replace(now).unwrap_or(now)).secs();
+        self.demand.iter_mut().for_each(|demand| demand.fade(gone));
+        self.delivered *= (-gone / Demand::MEMORY_S).exp();
+    }
+
+    /// Shares follow predicted demand, the best gain per CPU second first, so that pressure falls on heavy work. The
+    /// gain per CPU second at which capacity ends is the price that the near-best exception asks.
     fn share_out(&mut self, now: Moment) {
-        let gone = self.demand_at.map_or(0.0, |at| (now - at).secs());
+        self.fade_demand(now);
         let ready = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
-        let capacity = ready.map(|e| e.cores).sum::<f64>() / self.fleet.peers;
-        let wanted: Vec<f64> = self.demand.iter().map(|d| d.cpu * (-gone / Demand::MEMORY_S).exp()).collect();
-        if capacity <= 0.0 || wanted.iter().sum::<f64>() <= 0.0 {
+        let own = ready.map(|e| e.cores).sum::<f64>() / self.fleet.peers;
+        let all =
+            |(p, demand): (usize, &Demand)| demand.bands.map(|(cpu, gain)| (gain / cpu.max(1e-9), cpu, p));
+        let mut bands: Vec<(f64, f64, usize)> = self.demand.iter().enumerate().flat_map(all).collect();
+        bands.retain(|band| band.1 > 1e-6);
+        if own <= 0.0 || bands.is_empty() {
             return;
         }
-        // Of all that is asked for: the completed alone are the light ones, and their mean would flatter a
-        // product whose heavy statements are being denied.
-        let worth = |p: &usize| self.demand[*p].gain / self.demand[*p].cpu.max(1e-6);
-        let mut order: Vec<usize> = (0..wanted.len()).collect();
-        order.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
-        let mut left = 1.0;
-        for p in order {
-            self.demand[p].share = (wanted[p] * 1.3 / capacity).min(left);
-            left -= self.demand[p].share;
+        bands.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.2.cmp(&b.2)));
+        // A gateway that carries more than its share of the traffic has shown what it can get done.
+        let capacity = own.max(self.delivered * 1.2);
+        let mut left = capacity;
+        self.demand.iter_mut().for_each(|demand| demand.share = 0.0);
+        self.price = 0.0;
+        for (gain, cpu, p) in bands {
+            self.demand[p].share += cpu.min(left);
+            self.price = if cpu >= left && left > 0.0 { gain } else { self.price };
+            left = (left - cpu).max(0.0);
         }
         // What nobody asked for goes to all alike, and a trickle to everyone.
-        let given = (1.0 - left).max(1e-6);
-        self.demand.iter_mut().for_each(|d| d.share = (d.share / given).max(0.02));
+        self.demand.iter_mut().for_each(|d| d.share = (d.share / (capacity - left).max(1e-6)).max(0.02));
     }
 
     fn fill(&mut self, now: Moment) {
@@ -563,33 +588,33 @@
     fn choose(&mut self, now: Moment, s: &Statement, place: Place, predicted: f64) -> Option<EngineId> {
         self.fill(now);
         let (rank, need) = (self.rank(s, predicted), self.need_mb(s));
-        let product = &self.products[s.product.0];
-        let p = s.product.0;
-        let usual = self.usual(p);
+        let (p, product, usual) = (s.product.0, &self.products[s.product.0], self.usual(s.product.0));
         // The client's earlier tries have used up its quoted time. Having less time left, it would even be first in
         // line, and in a surge engines would do nothing else: only spare room. Could harm where late answers count
         // though the settings say that they gain nothing.
         let spent = (now - s.taken).secs() + place.spent.secs() + predicted / product.threads;
         let late = product.late_gain <= 0.0 && spent > quoted(product, predicted);
+        let pays = product.gain / predicted >= self.price * 0.999;
         let listed = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
-        let all: Vec<&Engine> = listed.filter(|e| allowed(product, s, e, now)).collect();
-        let mut fit: Vec<&Engine> = all.iter().copied().filter(|e| e.health.fit(now)).collect();
+        let all: Vec<&Engine> = listed.filter(|e| allowed(product, s, &e.fact, now)).collect();
+        // A benched engine gets one trial statement when its spell is over.
+        let back = |h: &Health| h.benched_until.is_none_or(|until| until <= now && h.trial.is_none());
+        let mut fit: Vec<&Engine> = all.iter().copied().filter(|e| back(&e.health)).collect();
         // Most of them bad at once is a common cause, or our own: benching would put the whole load on the rest.
         if fit.len() * 2 < all.len() {
             fit = all;
         }
         let mut best: Option<(f64, EngineId)> = None;
         for engine in fit {
-            let own = engine.cores / self.fleet.peers;
-            let full = own * self.demand[p].share * BURST_S * warmth(self.cold, engine, now);
-            let left = engine.left[p];
-            let near = engine.lag.over_best().is_none_or(|over| over <= NEAR);
+            let warmth = warmth(self.cold, engine, now);
+            let (full, left) = (engine.full(self.demand[p].share, self.fleet.peers) * warmth, engine.left[p]);
+            let near = pays && engine.lag.over_best().is_none_or(|over| over <= NEAR);
             let afford = if late || place.over_allowance {
-                left >= predicted + full * 0.5 && engine.running(0) < engine.bound * 0.5
+                left >= predicted + full * 0.5 && engine.running(rank) < engine.bound * 0.5
             } else {
                 left >= predicted || left >= full * 0.99 || near
             };
-            let cold_ok = warmth(self.cold, engine, now) >= 1.0 || engine.cold_left >= usual;
+            let cold_ok = warmth >= 1.0 || engine.cold_left >= usual;
             // Past its memory an engine spills, pages or lines statements up, each far worse than holding them here.
             // Could harm where estimates are far too high at first; the answers' bills correct them.
             let fits = engine.held_mb <= 0.0 || engine.held_mb + need <= engine.memory_mb / self.fleet.peers;
@@ -599,23 +624,20 @@
             // One that just failed this statement comes last.
             let last = if s.relays.iter().any(|r| r.engine == engine.fact.id) { 1e3 } else { 0.0 };
             let score = left / full.max(1e-9) - last + self.rng.random::<f64>() * 0.01;
-            if best.is_none_or(|(most, _)| score > most) {
-                best = Some((score, engine.fact.id));
-            }
+            best = best.filter(|(most, _)| *most >= score).or(Some((score, engine.fact.id)));
         }
         best.map(|(_, id)| id)
     }
 
     fn send(&mut self, now: Moment, s: &Statement, id: EngineId, predicted: f64) -> Answer {
-        let (rank, need) = (self.rank(s, predicted), self.need_mb(s));
+        let (rank, need, usual) = (self.rank(s, predicted), self.need_mb(s), self.usual(s.product.0));
         let threads = self.products[s.product.0].threads;
-        let usual = self.usual(s.product.0);
         let pace = self.fleet.note_pace.map_or(f64::INFINITY, |p| p.secs() * 1.25 + 0.3);
         let engine = self.engines.get_mut(&id).expect("chosen from the table");
         // A full bucket's debt is repaid whole. What near-best latency let through is charged down to one empty
         // bucket's depth: an engine that proved it had the time must not be shut for minutes afterwards.
         let left = engine.left[s.product.0];
-        let full = engine.cores / self.fleet.peers * self.demand[s.product.0].share * BURST_S;
+        let full = engine.full(self.demand[s.product.0].share, self.fleet.peers);
         let floor = if left >= full * 0.99 { f64::NEG_INFINITY } else { left.min(-full) };
         engine.left[s.product.0] = (left - predicted).max(floor);
         engine.cold_left -= usual;
@@ -632,9 +654,7 @@
         if !s.relays.is_empty() {
             self.rations.iter_mut().for_each(|spent| spent.slice(now).2 += 1.0);
         }
-        if let Some(turn) = self.turn(s) {
-            turn.out = Some(s.id);
-        }
+        self.turn(s).into_iter().for_each(|turn| turn.out = Some(s.id));
         let relay = Relay {
             engine: id,
             location: fact.location,
@@ -654,8 +674,7 @@
         s.memory_mb.max(0.0) * needed / estimated.max(1e-9)
     }
 
-    /// A product's usual CPU. The completed alone are too light where the heavy are denied, which rule 4 would pay
-    /// for, so the mean of all that was asked for counts where it is more.
+    /// A product's usual CPU, for rule 4: the completed alone are too light where the heavy are denied.
     fn usual(&self, p: usize) -> f64 {
         let asked = self.demand[p].gain / self.products[p].gain.max(1e-6);
         self.costs.usual[p].0.max(self.demand[p].cpu / asked.max(1e-6)).max(1e-4)
@@ -704,31 +723,27 @@
         let ran = s.relays.iter().any(|r| r.state == RelayState::MayHaveRun);
         let never_again = ran && self.products[s.product.0].effect == Effect::Unrepeatable;
         if never_again || (s.hard_limit - now).secs() < 0.03 || s.relays.len() >= self.relaying.most {
-            return match self.give_up(now, s) {
-                Answer::Deny { come_back } => After::Deny { come_back },
-                _ => After::Scrap,
-            };
+            let Answer::Deny { come_back } = self.give_up(now, s) else { return After::Scrap };
+            return After::Deny { come_back };
         }
         After::Ask
     }
 
     fn over(&mut self, s: &Statement) {
-        if let Some(turn) = self.turn(s) {
-            turn.line.retain(|id| *id != s.id);
-        }
+        self.turn(s).into_iter().for_each(|turn| turn.line.retain(|id| *id != s.id));
     }
 
     /// Rule 2: a denial says that trying again is harmless, so it needs proof.
     fn give_up(&mut self, now: Moment, s: &Statement) -> Answer {
         self.over(s);
         let ran = s.relays.iter().find(|r| r.state != RelayState::NeverRan);
-        let harmless = match (ran, self.products[s.product.0].effect) {
-            (None, _) | (_, Effect::Idempotent) => true,
-            (Some(ran), Effect::Deduplicated { group: RepeatGroup::All, remembered }) => {
-                now - ran.sent < remembered
+        let harmless = ran.is_none_or(|ran| match self.products[s.product.0].effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated { group, remembered } => {
+                group == RepeatGroup::All && now - ran.sent < remembered
             }
-            _ => false,
-        };
+            Effect::Unrepeatable => false,
+        });
         if harmless { Answer::Deny { come_back: self.relaying.come_back } } else { Answer::Scrap }
     }
 
@@ -754,15 +769,14 @@
     /// Asks again when a call failed or its answer stays away; spread by chance, or every gateway that lost its
     /// subscription would ask in the same instant.
     fn ask_list(&mut self, now: Moment) -> Option<ListAsk> {
-        let list = &mut self.list;
-        let first = list.asked.is_none();
-        let again = list.every > 0.0 && list.asked.is_some_and(|asked| (now - asked).secs() >= list.every);
-        if !list.terms.on_request || !(first || again) {
+        let (asked, every) = self.asked;
+        let again = asked.is_none_or(|asked| every > 0.0 && (now - asked).secs() >= every);
+        if !self.listing.on_request || !again {
             return None;
         }
-        let longest = list.terms.ask_within.secs() * 0.4;
-        list.asked = Some(now);
-        list.every = if first { longest } else { longest.min(list.every * (1.5 + self.rng.random::<f64>())) };
+        let longest = self.listing.ask_within.secs() * 0.4;
+        let later = if asked.is_none() { longest } else { every * (1.5 + self.rng.random::<f64>()) };
+        self.asked = (Some(now), later.min(longest));
         Some(ListAsk::Subscribe)
     }
 }
@@ -771,9 +785,6 @@
     product.quoted.secs() + product.quoted_stretch * cpu / product.threads
 }
 
-/// Part of the multiple of a cold engine's present capacity that all gateways together may reach.
-const COLD_PART: f64 = 0.4;
-
 /// Rule 4 tells only where it starts and when it ends: the curve lies under the straight line between.
 fn warmth(cold: Option<ColdStart>, engine: &Engine, now: Moment) -> f64 {
     let (Some(cold), Some(started)) = (cold, engine.fact.started) else { return 1.0 };
@@ -782,24 +793,18 @@
 }
 
 /// Rules 2 and 6.
-fn allowed(product: &Product, s: &Statement, engine: &Engine, now: Moment) -> bool {
-    let fact = &engine.fact;
+fn allowed(product: &Product, s: &Statement, fact: &EngineFact, now: Moment) -> bool {
     let placed = product.locations.as_ref().is_none_or(|of| of.contains(&fact.location))
         && product.machines.as_ref().is_none_or(|of| of.contains(&fact.machine));
-    let Some(ran) = s.relays.iter().find(|r| r.state != RelayState::NeverRan) else { return placed };
-    placed
-        && match product.effect {
-            Effect::Idempotent => true,
-            Effect::Unrepeatable => false,
-            Effect::Deduplicated { group, remembered } => {
-                let same = match group {
-                    RepeatGroup::All => true,
-                    RepeatGroup::Location => fact.location == ran.location,
-                    RepeatGroup::Cell => fact.cell == ran.cell,
-                };
-                same && (now - ran.sent) < remembered
-            }
-        }
+    let again = |ran: &Relay| match product.effect {
+        Effect::Idempotent => true,
+        Effect::Unrepeatable => false,
+        Effect::Deduplicated { remembered, .. } if now - ran.sent >= remembered => false,
+        Effect::Deduplicated { group: RepeatGroup::All, .. } => true,
+        Effect::Deduplicated { group: RepeatGroup::Location, .. } => fact.location == ran.location,
+        Effect::Deduplicated { group: RepeatGroup::Cell, .. } => fact.cell == ran.cell,
+    };
+    placed && s.relays.iter().find(|r| r.state != RelayState::NeverRan).is_none_or(again)
 }
 
 /// The thread bound follows latency per CPU second, and only an outcome that met the bound may widen it.
