--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -519,7 +519,8 @@
         for (at, (t, allowed)) in self.tenants.iter_mut().zip(allowances.clone()).enumerate() {
             let gone = (now - t.at.replace(now).unwrap_or(now)).secs();
             t.rate = t.rate * (-gone / 3.0).exp() + if at == tenant.0 { 1.0 / 3.0 } else { 0.0 };
-            t.left = (t.left + gone * allowed * self.lopsided).min((allowed * self.lopsided).max(1.0));
+            // Three seconds and a few: at a quiet gateway chance alone would put a tenant over.
+            t.left = (t.left + gone * allowed * self.lopsided).min(allowed * self.lopsided * 3.0 + 5.0);
         }
         let all: f64 = self.tenants.iter().map(|t| t.rate).sum();
         let seen = self.tenants.iter().zip(allowances).filter(|(t, _)| t.rate > 0.05 * all);
