--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -1,7 +1,7 @@
 //! Every decision, table and tuned value of laurelhitch. It is called like a client library, on one thread:
 //! `place` (where to send this statement, or not yet, or never), `after` (what to do after this outcome; a
 //! progress note is one that leaves the relay out), `pause` (how long to wait). Facts are told in by `told_list`,
-//! `told_load` and `told_left`. The caller keeps statements and timers, and asks for the held ones again in the
+//! `told_load` and `told_over`. The caller keeps statements and timers, and asks for the held ones again in the
 //! order of their `Place` on any change and when the pause is over. The values are in `interface.rs`; why the
 //! design is kept or extended, in docs/design.md. Each tuned value is a guess that a measured round has tried.
 
@@ -36,6 +36,8 @@
 const USUAL_RANK: u8 = 1;
 /// Part of the multiple of a cold engine's present capacity that all gateways together may reach.
 const COLD_PART: f64 = 0.4;
+/// With no news for so long, a pushed list is asked for whole.
+const REFRESH_S: f64 = 8.0;
 /// Failures in a row that bench an engine.
 const FAILURES: u32 = 3;
 
@@ -164,6 +166,7 @@
     health: Health,
     /// What may still be sent while cold, in usual CPU seconds.
     cold_left: f64,
+    waiting: f64,
 }
 
 impl Engine {
@@ -357,7 +360,6 @@
         if (turn && held >= hold) || left < 0.05 { self.give_up(now, s) } else { Answer::NotYet(place) }
     }
 
-    /// What to do after this outcome.
     pub fn after(&mut self, now: Moment, s: &Statement, o: &Outcome) -> After {
         let Some(relay) = s.relays.get(o.relay.0 as usize) else { return After::Stay };
         let predicted = self.costs.predict(s);
@@ -390,9 +392,7 @@
             News::TurnedAway | News::NeverSent => {
                 engine.heard(now, pace);
                 engine.left[s.product.0] += charge;
-                if o.news == News::TurnedAway {
-                    (engine.bound, engine.cut) = ((engine.bound * 0.8).max(1.0), now);
-                }
+                (engine.bound, engine.cut) = ((engine.bound * 0.8).max(1.0), now);
             }
             // The charge stays: an engine that fails fast would otherwise look the emptiest and draw the rest.
             News::Error | News::Reset | News::Unreachable => {
@@ -413,7 +413,6 @@
         self.next(now, s, o)
     }
 
-    /// How long to wait before the held ones are asked again, and what to do meanwhile.
     pub fn pause(&mut self, now: Moment, held: usize) -> Pause {
         self.share_out(now);
         for engine in self.engines.values_mut() {
@@ -430,9 +429,8 @@
         Pause { wait, probe: Vec::new(), list: self.ask_list(now) }
     }
 
-    /// The engine list, whole or in changes.
     pub fn told_list(&mut self, now: Moment, news: &ListNews) {
-        self.asked.1 = 0.0;
+        self.asked = if self.listing.on_request { (self.asked.0, 0.0) } else { (Some(now), REFRESH_S) };
         let facts = match news {
             ListNews::Failed => {
                 self.asked = (Some(now), 0.5);
@@ -465,6 +463,7 @@
                 lag: Lag::default(),
                 health: Health::default(),
                 cold_left: 0.0,
+                waiting: 0.0,
             };
             let engine = self.engines.entry(fact.id).or_insert_with(|| fresh.clone());
             // A new start: what was learned of the old process is void, what is still out there is not.
@@ -478,11 +477,15 @@
         self.engines.retain(|_, e| e.fact.stage != Stage::Gone || e.out > 0);
     }
 
-    pub fn told_load(&mut self, _now: Moment, _engine: EngineId, _report: &LoadReport) {}
+    /// Statements that wait for memory there are others' too: no time for more, however near its best it looks.
+    pub fn told_load(&mut self, id: EngineId, report: &LoadReport) {
+        let waiting = report.waiting.unwrap_or(0.0);
+        self.engines.get_mut(&id).into_iter().for_each(|engine| engine.waiting = waiting);
+    }
 
-    /// The client has left: nothing is owed, and its turn passes on.
-    pub fn told_left(&mut self, s: &Statement) {
-        self.over(s);
+    /// Over, through us or because the client left: its turn passes on.
+    pub fn told_over(&mut self, s: &Statement) {
+        self.turn(s).into_iter().for_each(|turn| turn.line.retain(|id| *id != s.id));
     }
 
     fn take(&mut self, now: Moment, s: &Statement) -> Place {
@@ -548,9 +551,6 @@
             |(p, demand): (usize, &Demand)| demand.bands.map(|(cpu, gain)| (gain / cpu.max(1e-9), cpu, p));
         let mut bands: Vec<(f64, f64, usize)> = self.demand.iter().enumerate().flat_map(all).collect();
         bands.retain(|band| band.1 > 1e-6);
-        if own <= 0.0 || bands.is_empty() {
-            return;
-        }
         bands.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.2.cmp(&b.2)));
         // A gateway that carries more than its share of the traffic has shown what it can get done.
         let capacity = own.max(self.delivered * 1.2);
@@ -609,10 +609,10 @@
         for engine in fit {
             let warmth = warmth(self.cold, engine, now);
             let (full, left) = (engine.full(self.demand[p].share, self.fleet.peers) * warmth, engine.left[p]);
-            let near = pays && engine.lag.over_best().is_none_or(|over| over <= NEAR);
+            let near = pays && engine.waiting < 1.0 && engine.lag.over_best().is_none_or(|over| over <= NEAR);
+            let (threads, spare) = (product.threads, engine.bound.min(engine.cores / peers) * 0.8);
             let afford = if late || place.over_allowance {
-                left >= predicted + full * 0.5
-                    && engine.running(rank) < engine.bound.min(engine.cores / peers) * 0.8
+                left >= predicted + full * 0.5 && engine.running(rank) + threads <= spare.max(threads)
             } else {
                 left >= predicted || left >= full * 0.99 || near
             };
@@ -704,10 +704,8 @@
         let total = elapsed / done.clamp(0.001, 1.0);
         let pays = total - elapsed > 2.0 * fresh && fresh * 1.3 < left && total > 3.5 * fresh;
         let repeatable = product.effect == Effect::Idempotent && s.relays.len() < self.relaying.most;
-        if self.relaying.cancel && repeatable && pays && self.may_relay_again(now) {
-            return After::Cancel(o.relay);
-        }
-        After::Stay
+        let cancel = self.relaying.cancel && repeatable && pays && self.may_relay_again(now);
+        if cancel { After::Cancel(o.relay) } else { After::Stay }
     }
 
     fn next(&mut self, now: Moment, s: &Statement, o: &Outcome) -> After {
@@ -719,7 +717,7 @@
             }
         }
         if o.settled {
-            self.over(s);
+            self.told_over(s);
             return After::Over;
         }
         let ran = s.relays.iter().any(|r| r.state == RelayState::MayHaveRun);
@@ -731,13 +729,9 @@
         After::Ask
     }
 
-    fn over(&mut self, s: &Statement) {
-        self.turn(s).into_iter().for_each(|turn| turn.line.retain(|id| *id != s.id));
-    }
-
     /// Rule 2: a denial says that trying again is harmless, so it needs proof.
     fn give_up(&mut self, now: Moment, s: &Statement) -> Answer {
-        self.over(s);
+        self.told_over(s);
         let ran = s.relays.iter().find(|r| r.state != RelayState::NeverRan);
         let harmless = ran.is_none_or(|ran| match self.products[s.product.0].effect {
             Effect::Idempotent => true,
@@ -759,25 +753,27 @@
 
     fn in_turn(&self, now: Moment, s: &Statement) -> bool {
         let Some(turn) = self.turn_key(s).and_then(|key| self.turns.get(&key)) else { return true };
-        let first = turn.line.front().is_none_or(|id| *id == s.id);
         let rested = turn.rest_until.is_none_or(|until| until <= now);
-        first && turn.out.is_none() && rested
+        rested && turn.out.is_none() && turn.line.front().is_none_or(|id| *id == s.id)
     }
 
     fn may_relay_again(&mut self, now: Moment) -> bool {
         self.rations.iter_mut().all(|spent| spent.room(now))
     }
 
-    /// Asks again when a call failed or its answer stays away; spread by chance, or every gateway that lost its
-    /// subscription would ask in the same instant.
+    /// Asks again when a call failed or its answer stays away, and for the whole list where pushes have stopped: a
+    /// lost push would hide engines for good. Spread by chance, or all that lost theirs would ask as one.
     fn ask_list(&mut self, now: Moment) -> Option<ListAsk> {
         let (asked, every) = self.asked;
-        let again = asked.is_none_or(|asked| every > 0.0 && (now - asked).secs() >= every);
-        if !self.listing.on_request || !again {
+        if asked.is_some_and(|asked| every <= 0.0 || (now - asked).secs() < every) {
             return None;
         }
-        let longest = self.listing.ask_within.secs() * 0.4;
-        let later = if asked.is_none() { longest } else { every * (1.5 + self.rng.random::<f64>()) };
+        let (longest, chance) = (self.listing.ask_within.secs() * 0.4, self.rng.random::<f64>());
+        if !self.listing.on_request {
+            self.asked = (Some(now), REFRESH_S * (0.75 + 0.5 * chance));
+            return Some(ListAsk::Whole);
+        }
+        let later = if asked.is_none() { longest } else { every * (1.5 + chance) };
         self.asked = (Some(now), later.min(longest));
         Some(ListAsk::Subscribe)
     }
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -332,7 +332,7 @@
             && let Some(held) = world.hand.values_mut().find(|h| !h.over)
         {
             held.over = true;
-            world.policy.told_left(&held.s);
+            world.policy.told_over(&held.s);
         }
         world.ask_line();
     }
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -176,19 +176,19 @@
                     80 => News::NeverSent,
                     code => return Err(batch.unknown(record, "outcome", code.into())),
                 };
-                self.load(now, EngineId(fields.u32(13)), fields, 31);
+                self.load(EngineId(fields.u32(13)), fields, 31);
                 self.outcome(now, id, fields.u16(11), news, fields.f64(18), fields.u8(26) != 0, actions);
             }
             60 => {
                 if let Some(in_hand) = self.hand.get_mut(&id) {
                     in_hand.over = true;
-                    self.policy.told_left(&in_hand.statement);
+                    self.policy.told_over(&in_hand.statement);
                     in_hand.statement.place.map(|place| self.line.remove(&place));
                     self.forget(id);
                 }
             }
             70 if fields.u64(3) == self.tag => self.alarm = None,
-            80 => self.load(now, EngineId(fields.u32(3)), fields, 16),
+            80 => self.load(EngineId(fields.u32(3)), fields, 16),
             _ => {}
         }
         Ok(())
@@ -311,7 +311,7 @@
         self.forget(id);
     }
 
-    fn load(&mut self, now: Moment, engine: EngineId, fields: Fields<'_>, at: usize) {
+    fn load(&mut self, engine: EngineId, fields: Fields<'_>, at: usize) {
         let told = usize::from(fields.u8(at)).min(4).min(self.fields.len());
         let mut report = LoadReport::default();
         for (place, name) in self.fields[..told].iter().enumerate() {
@@ -325,7 +325,7 @@
             }
         }
         if told > 0 {
-            self.policy.told_load(now, engine, &report);
+            self.policy.told_load(engine, &report);
         }
     }
 }
