--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -36,8 +36,6 @@
 const USUAL_RANK: u8 = 1;
 /// Part of the multiple of a cold engine's present capacity that all gateways together may reach.
 const COLD_PART: f64 = 0.4;
-/// With no news for so long, a pushed list is asked for whole.
-const REFRESH_S: f64 = 8.0;
 /// Failures in a row that bench an engine.
 const FAILURES: u32 = 3;
 
@@ -430,7 +428,7 @@
     }
 
     pub fn told_list(&mut self, now: Moment, news: &ListNews) {
-        self.asked = if self.listing.on_request { (self.asked.0, 0.0) } else { (Some(now), REFRESH_S) };
+        self.asked.1 = 0.0;
         let facts = match news {
             ListNews::Failed => {
                 self.asked = (Some(now), 0.5);
@@ -761,18 +759,15 @@
         self.rations.iter_mut().all(|spent| spent.room(now))
     }
 
-    /// Asks again when a call failed or its answer stays away, and for the whole list where pushes have stopped: a
-    /// lost push would hide engines for good. Spread by chance, or all that lost theirs would ask as one.
+    /// Asks again when a call failed or its answer stays away; spread by chance, or every gateway that lost its
+    /// subscription would ask in the same instant.
     fn ask_list(&mut self, now: Moment) -> Option<ListAsk> {
         let (asked, every) = self.asked;
-        if asked.is_some_and(|asked| every <= 0.0 || (now - asked).secs() < every) {
+        let again = asked.is_none_or(|asked| every > 0.0 && (now - asked).secs() >= every);
+        if !self.listing.on_request || !again {
             return None;
         }
         let (longest, chance) = (self.listing.ask_within.secs() * 0.4, self.rng.random::<f64>());
-        if !self.listing.on_request {
-            self.asked = (Some(now), REFRESH_S * (0.75 + 0.5 * chance));
-            return Some(ListAsk::Whole);
-        }
         let later = if asked.is_none() { longest } else { every * (1.5 + chance) };
         self.asked = (Some(now), later.min(longest));
         Some(ListAsk::Subscribe)
