--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -28,6 +28,8 @@
 /// The bound widens to this many threads a core of this gateway's share at most: latency tells of a jam seconds
 /// late, and by then all gateways would have widened together. Could harm a gateway with far more than its share.
 const WIDEST: f64 = 2.0;
+/// Part of this gateway's share of an engine's memory that running statements may need: estimates scatter.
+const MEMORY: f64 = 0.85;
 /// Part of its hard limit that a statement may be held, in all waits between two relays.
 const HOLD: f64 = 0.08;
 /// How engines that heed ranks share what is short; the wire's ratio.
@@ -617,7 +619,7 @@
             let cold_ok = warmth >= 1.0 || engine.cold_left >= usual;
             // Past its memory an engine spills, pages or lines statements up, each far worse than holding them here.
             // Could harm where estimates are far too high at first; the answers' bills correct them.
-            let fits = engine.held_mb <= 0.0 || engine.held_mb + need <= engine.memory_mb / self.fleet.peers;
+            let fits = engine.held_mb <= 0.0 || engine.held_mb + need <= engine.memory_mb / peers * MEMORY;
             if !(afford && fits && cold_ok) || engine.running(rank) >= engine.bound {
                 continue;
             }
