--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -38,8 +38,9 @@
 const USUAL_RANK: u8 = 1;
 /// Part of the multiple of a cold engine's present capacity that all gateways together may reach.
 const COLD_PART: f64 = 0.4;
-/// Failures in a row that bench an engine.
-const FAILURES: u32 = 3;
+/// Failures in a row that bench an engine. A success takes back only a part, so that one which fails or loses a
+/// third of what it takes is caught as well; could harm where failures follow the statement, not the engine.
+const FAILURES: f64 = 3.0;
 
 #[derive(Default)]
 struct Cost {
@@ -139,7 +140,7 @@
 /// Judged by failures in a row and by silence past when something was due.
 #[derive(Clone, Default)]
 struct Health {
-    failures: u32,
+    failures: f64,
     due: Option<Moment>,
     benched_until: Option<Moment>,
     bench: f64,
@@ -160,7 +161,7 @@
     /// Running threads by rank.
     threads: [f64; 4],
     out: u32,
-    /// Threads of timed-out relays that may still run; emptied as their predicted end passes.
+    /// Threads of relays that may still run though timed out or cancelled; emptied as their predicted end passes.
     ghosts: Vec<(Moment, f64, u8)>,
     lag: Lag,
     health: Health,
@@ -187,7 +188,7 @@
     fn bench(&mut self, now: Moment) {
         self.health.bench = (self.health.bench * 2.0).clamp(1.0, 8.0);
         self.health.benched_until = Some(now + Span::from_secs(self.health.bench));
-        (self.health.trial, self.health.due, self.health.failures) = (None, None, 0);
+        (self.health.trial, self.health.due, self.health.failures) = (None, None, 0.0);
     }
 
     fn heard(&mut self, now: Moment, pace: f64) {
@@ -374,10 +375,16 @@
         engine.out = engine.out.saturating_sub(1);
         engine.held_mb = (engine.held_mb - relay.memory_mb).max(0.0);
         let tried = engine.health.trial == Some(s.id);
+        let expected = charge / threads * engine.lag.now().unwrap_or(1.0).max(1.0);
+        // Far past what the engine's pace explains, the statement was lost there.
+        let lost = o.news == News::TimedOut && o.latency.secs() > 4.0 * expected + 1.0;
+        engine.health.failures += f64::from(u8::from(lost));
         match o.news {
             News::Completed { cpu, memory_mb } => {
                 engine.heard(now, pace);
-                engine.health = Health { due: engine.health.due, ..Health::default() };
+                let h = &mut engine.health;
+                (h.failures, h.bench, h.benched_until, h.trial) =
+                    (h.failures * 0.8, h.bench * 0.98, None, None);
                 let true_cpu = cpu.map_or(charge, Span::secs);
                 engine.left[s.product.0] += charge - true_cpu;
                 self.delivered += true_cpu / Demand::MEMORY_S;
@@ -397,15 +404,14 @@
             // The charge stays: an engine that fails fast would otherwise look the emptiest and draw the rest.
             News::Error | News::Reset | News::Unreachable => {
                 engine.heard(now, pace);
-                engine.health.failures += 1;
+                engine.health.failures += 1.0;
             }
-            // It may still hold its threads where the engine does not heed us.
             News::TimedOut | News::Cancelled if !self.relaying.cancel => {
                 engine.ghosts.push((now + Span::from_secs(predicted / threads), threads, relay.rank));
             }
             _ => {}
         }
-        if engine.health.failures >= FAILURES || (tried && engine.health.failures > 0) {
+        if engine.health.failures >= FAILURES || (tried && engine.health.failures >= 1.0) {
             engine.bench(now);
         } else if tried {
             engine.health.trial = None;
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -412,6 +412,20 @@
     }
 }
 
+#[test]
+fn an_engine_that_loses_half_of_what_it_takes_is_benched() {
+    let list = [engine(0, None), engine(1, None), engine(2, None)];
+    let mut world = World::new(3, vec![product(Effect::Idempotent)], &list, None);
+    for step in 0..600 {
+        world.now += 0.01;
+        world.take(0, None, 0.05);
+        world.ask_line();
+        world.answer(|id| id == EngineId(1) && step % 2 == 0, false);
+    }
+    let drawn = world.sends.iter().filter(|s| s.0 == EngineId(1)).count();
+    assert!(drawn < 100, "drew {drawn} of 600");
+}
+
 #[test]
 fn a_common_cause_benches_nobody() {
     let list = [engine(0, None), engine(1, None)];
