--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -348,7 +348,7 @@
         } else {
             left.min(quoted(product, predicted) - (now - s.taken).secs())
         };
-        let hopeless = left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || alone * 0.7 > useful;
+        let hopeless = left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || alone * 0.5 > useful;
         let (hold, turn) = (product.hard_limit.secs() * HOLD, self.in_turn(now, s));
         if hopeless || !s.relays.is_empty() && !self.may_relay_again(now) {
             return self.give_up(now, s);
