--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -1,9 +1,9 @@
 //! Every decision, table and tuned value of laurelhitch. It is called like a client library, on one thread:
 //! `place` (where to send this statement, or not yet, or never), `after` (what to do after this outcome; a
-//! progress note is one that leaves the relay out), `pause` (how long to wait). Facts are told in by `told_list`,
-//! `told_load` and `told_over`. The caller keeps statements and timers, and asks for the held ones again in the
-//! order of their `Place` on any change and when the pause is over. The values are in `interface.rs`; why the
-//! design is kept or extended, in docs/design.md. Each tuned value is a guess that a measured round has tried.
+//! progress note is one that leaves the relay out), `pause` (how long to wait). Facts are told in by
+//! `told_list`, `told_load` and `told_over`. The caller keeps statements and timers, and asks for the held
+//! ones again in the order of their `Place` on any change and when the pause is over. The values are in
+//! `interface.rs`; why the design is kept or extended, in docs/design.md.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -25,8 +25,8 @@
 const NEAR: f64 = 2.0;
 /// Past this many times its best, an engine is jammed.
 const JAMMED: f64 = 3.0;
-/// The bound widens to this many threads a core of this gateway's share at most: latency tells of a jam seconds
-/// late, and by then all gateways would have widened together. Could harm a gateway with far more than its share.
+/// The widest bound, in threads a core of the share: latency tells of a jam late, and by then all gateways would
+/// have widened together. Could harm one with far more than its share.
 const WIDEST: f64 = 2.0;
 /// Part of this gateway's share of an engine's memory that running statements may need: estimates scatter.
 const MEMORY: f64 = 0.85;
@@ -38,8 +38,8 @@
 const USUAL_RANK: u8 = 1;
 /// Part of the multiple of a cold engine's present capacity that all gateways together may reach.
 const COLD_PART: f64 = 0.4;
-/// Failures in a row that bench an engine. A success takes back only a part, so that one which fails or loses a
-/// third of what it takes is caught as well; could harm where failures follow the statement, not the engine.
+/// Failures in a row that bench an engine. A success takes back only a part, so that one which fails or loses
+/// a third of what it takes is caught too; could harm where failures follow the statement.
 const FAILURES: f64 = 3.0;
 
 #[derive(Default)]
@@ -62,8 +62,8 @@
         s.estimate.map(Span::secs).filter(|e| *e > 0.0).unwrap_or(1.0)
     }
 
-    /// An unseen fingerprint borrows the others' median k. Estimates lie too high or low by product, so those of
-    /// the same product come first.
+    /// An unseen fingerprint borrows the others' median k. Estimates lie too high or low by product, so those
+    /// of the same product come first.
     fn predict(&self, s: &Statement) -> f64 {
         let ratio = |cost: &Cost| cost.cpu / cost.estimate;
         let others = |own: bool| {
@@ -161,7 +161,7 @@
     /// Running threads by rank.
     threads: [f64; 4],
     out: u32,
-    /// Threads of relays that may still run though timed out or cancelled; emptied as their predicted end passes.
+    /// Threads of relays given up that may still run; emptied as their predicted end passes.
     ghosts: Vec<(Moment, f64, u8)>,
     lag: Lag,
     health: Health,
@@ -171,8 +171,8 @@
 }
 
 impl Engine {
-    /// Running threads as one of this rank meets them: short cores go to ranks in the ratio of `WEIGHTS`, so a
-    /// light statement need not wait for heavy ones that will yield to it.
+    /// Running threads as one of this rank meets them: short cores go to ranks in the ratio of `WEIGHTS`, so
+    /// a light statement need not wait for heavy ones that will yield to it.
     fn running(&self, rank: u8) -> f64 {
         let met = |of: usize, threads: f64| threads * (WEIGHTS[of] / WEIGHTS[rank as usize & 3]).min(1.0);
         let live: f64 = self.threads.iter().enumerate().map(|(of, threads)| met(of, *threads)).sum();
@@ -196,7 +196,7 @@
     }
 }
 
-/// Rule 5: what is in hand under one key, oldest first. A key leaves once nothing is in hand and it has rested.
+/// Rule 5: what is in hand under one key, oldest first. A key leaves once it is idle and rested.
 #[derive(Default)]
 struct Turn {
     line: VecDeque<StatementId>,
@@ -356,7 +356,7 @@
         if turn && let Some(id) = self.choose(now, s, place, predicted) {
             return self.send(now, s, id, predicted);
         }
-        // A statement that waits for its key's turn keeps waiting: its place there is worth more than an early no.
+        // One that waits for its key's turn keeps waiting: its place there beats an early no.
         let held = (now - s.held_since).secs();
         if (turn && held >= hold) || left < 0.05 { self.give_up(now, s) } else { Answer::NotYet(place) }
     }
@@ -401,7 +401,7 @@
                 engine.left[s.product.0] += charge;
                 (engine.bound, engine.cut) = ((engine.bound * 0.8).max(1.0), now);
             }
-            // The charge stays: an engine that fails fast would otherwise look the emptiest and draw the rest.
+            // The charge stays, or an engine that fails fast would look the emptiest and draw the rest.
             News::Error | News::Reset | News::Unreachable => {
                 engine.heard(now, pace);
                 engine.health.failures += 1.0;
@@ -423,8 +423,8 @@
         self.share_out(now);
         for engine in self.engines.values_mut() {
             engine.ghosts.retain(|g| g.0 > now);
-            // Nothing heard when an answer or note was due: hung, cut off or dead, whatever the list says. It may
-            // bench an engine that only few statements of a quiet gateway reach; the trial lets that one back.
+            // Nothing heard when an answer or note was due: hung, cut off or dead, whatever the list says.
+            // Could harm a quiet gateway that one slow statement misleads; the trial mends that.
             if engine.health.due.is_some_and(|due| due <= now) {
                 engine.bench(now);
             }
@@ -483,7 +483,7 @@
         self.engines.retain(|_, e| e.fact.stage != Stage::Gone || e.out > 0);
     }
 
-    /// Statements that wait for memory there are others' too: no time for more, however near its best it looks.
+    /// Those that wait for memory there are others' too: no time for more, however near its best.
     pub fn told_load(&mut self, id: EngineId, report: &LoadReport) {
         let waiting = report.waiting.unwrap_or(0.0);
         self.engines.get_mut(&id).into_iter().for_each(|engine| engine.waiting = waiting);
@@ -517,8 +517,8 @@
         Place { by: s.hard_limit, id: s.id, over_allowance, spent }
     }
 
-    /// Whether its tenant sends more than its allowance, as far as one gateway can tell. One that carries more than
-    /// 1/peers of the traffic sees every tenant over: what the least of them is over is the gateway's own doing.
+    /// Whether its tenant sends more than its allowance. A gateway that carries more than 1/peers of the
+    /// traffic sees every tenant over: what the least of them is over is its own doing.
     fn over_allowance(&mut self, now: Moment, tenant: TenantId) -> bool {
         let peers = self.fleet.peers;
         let allowances = self.tenancy.allowances.iter().map(|a| a / peers);
@@ -547,8 +547,8 @@
         self.delivered *= (-gone / Demand::MEMORY_S).exp();
     }
 
-    /// Shares follow predicted demand, the best gain per CPU second first, so that pressure falls on heavy work. The
-    /// gain per CPU second at which capacity ends is the price that the near-best exception asks.
+    /// Shares follow predicted demand, the best gain per CPU second first, so that pressure falls on heavy
+    /// work. The gain per CPU second at which capacity ends is the price that the near-best exception asks.
     fn share_out(&mut self, now: Moment) {
         self.fade_demand(now);
         let ready = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
@@ -596,9 +596,8 @@
         self.fill(now);
         let (rank, need, peers) = (self.rank(s, predicted), self.need_mb(s), self.fleet.peers);
         let (p, product, usual) = (s.product.0, &self.products[s.product.0], self.usual(s.product.0));
-        // The client's earlier tries have used up its quoted time. Having less time left, it would even be first in
-        // line, and in a surge engines would do nothing else: only spare room. Could harm where late answers count
-        // though the settings say that they gain nothing.
+        // The client's earlier tries have used up its quoted time; with less time left it would be first in
+        // line, and in a surge engines would do nothing else. Could harm where late answers do count.
         let spent = (now - s.taken).secs() + place.spent.secs() + predicted / product.threads;
         let late = product.late_gain <= 0.0 && spent > quoted(product, predicted);
         let pays = product.gain / predicted >= self.price * 0.999;
@@ -607,7 +606,7 @@
         // A benched engine gets one trial statement when its spell is over.
         let back = |h: &Health| h.benched_until.is_none_or(|until| until <= now && h.trial.is_none());
         let mut fit: Vec<&Engine> = all.iter().copied().filter(|e| back(&e.health)).collect();
-        // Most of them bad at once is a common cause, or our own: benching would put the whole load on the rest.
+        // Most bad at once is a common cause, or ours: benching would put the whole load on the rest.
         if fit.len() * 2 < all.len() {
             fit = all;
         }
@@ -623,8 +622,8 @@
                 left >= predicted || left >= full * 0.99 || near
             };
             let cold_ok = warmth >= 1.0 || engine.cold_left >= usual;
-            // Past its memory an engine spills, pages or lines statements up, each far worse than holding them here.
-            // Could harm where estimates are far too high at first; the answers' bills correct them.
+            // Past its memory an engine spills, pages or lines statements up, each far worse than holding
+            // them here. Could harm where estimates are far too high, until bills correct them.
             let fits = engine.held_mb <= 0.0 || engine.held_mb + need <= engine.memory_mb / peers * MEMORY;
             if !(afford && fits && cold_ok) || engine.running(rank) >= engine.bound {
                 continue;
@@ -642,8 +641,8 @@
         let threads = self.products[s.product.0].threads;
         let pace = self.fleet.note_pace.map_or(f64::INFINITY, |p| p.secs() * 1.25 + 0.3);
         let engine = self.engines.get_mut(&id).expect("chosen from the table");
-        // A full bucket's debt is repaid whole. What near-best latency let through is charged down to one empty
-        // bucket's depth: an engine that proved it had the time must not be shut for minutes afterwards.
+        // A full bucket's debt is repaid whole. What near-best latency let through is charged down to one
+        // bucket below empty: an engine that proved it had the time must not be shut for minutes.
         let left = engine.left[s.product.0];
         let full = engine.full(self.demand[s.product.0].share, self.fleet.peers);
         let floor = if left >= full * 0.99 { f64::NEG_INFINITY } else { left.min(-full) };
@@ -767,8 +766,8 @@
         self.rations.iter_mut().all(|spent| spent.room(now))
     }
 
-    /// Asks again when a call failed or its answer stays away; spread by chance, or every gateway that lost its
-    /// subscription would ask in the same instant.
+    /// Asks again when a call failed or its answer stays away; spread by chance, or every gateway that lost
+    /// its subscription would ask in the same instant.
     fn ask_list(&mut self, now: Moment) -> Option<ListAsk> {
         let (asked, every) = self.asked;
         let again = asked.is_none_or(|asked| every > 0.0 && (now - asked).secs() >= every);
--- a/crates/wirehost/src/frames.rs
+++ b/crates/wirehost/src/frames.rs
@@ -19,7 +19,7 @@
     #[error("batch {batch}, record {record}: unknown {what} {code}")]
     Unknown { batch: u32, record: usize, what: &'static str, code: u64 },
     #[error(
-        "batch {batch}, record {record}: {what} at {offset}, {count} long, lies outside a tail of {tail} bytes"
+        "batch {batch}, record {record}: {what} at {offset}, {count} long, outside a tail of {tail} bytes"
     )]
     Outside { batch: u32, record: usize, what: &'static str, offset: u32, count: u32, tail: usize },
 }
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,4 +1,5 @@
-//! Keeps each instance's statements and timers, decodes events into the module's calls and encodes its answers.
+//! Keeps each instance's statements and timers, decodes events into the module's calls and encodes its
+//! answers.
 
 use std::collections::{BTreeMap, BTreeSet};
 
