--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -25,8 +25,8 @@
 const NEAR: f64 = 2.0;
 /// Past this many times its best, an engine is jammed.
 const JAMMED: f64 = 3.0;
-/// The widest bound, in threads a core of the share: latency tells of a jam late, and by then all gateways would
-/// have widened together. Could harm one with far more than its share.
+/// The widest bound, in threads a core of the share: latency tells of a jam late, and by then all would
+/// have widened together. Could harm a gateway with far more than its share.
 const WIDEST: f64 = 2.0;
 /// Part of this gateway's share of an engine's memory that running statements may need: estimates scatter.
 const MEMORY: f64 = 0.85;
