--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -31,7 +31,7 @@
 /// Part of this gateway's share of an engine's memory that running statements may need: estimates scatter.
 const MEMORY: f64 = 0.85;
 /// Part of its hard limit that a statement may be held, in all waits between two relays.
-const HOLD: f64 = 0.08;
+const HOLD: f64 = 0.05;
 /// How engines that heed ranks share what is short; the wire's ratio.
 const WEIGHTS: [f64; 4] = [1.0, 4.0, 8.0, 16.0];
 /// The rank of everything where ranks are not heeded.
