Keep the books over the whole fleet beside each engine's; trials within a ration

Change: threads, memory, buckets and latency are also held over all ready engines; an engine's own books still decide where they hold a statement. The fleet's bound has a floor of half the share: gateways that backed off from a common jam stayed at 1 to 3 threads of 19 while others stood at 80. Memory over the fleet shrinks as latency grows. Turned away counts as a failure in a row, and trials of benched engines stay within one and a twentieth of the statements taken in 10 s. Could harm: gateways with far more traffic than 1/peers where no tenant allowance tells them so.

--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -220,8 +220,6 @@
     pub by: Moment,
     pub id: StatementId,
     pub over_allowance: bool,
-    /// What a client's earlier tries have used of its quoted time.
-    pub spent: Span,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -14,86 +14,74 @@
 
 /// Weight of the newest observation in a fingerprint's smoothed CPU and estimate; the design's.
 const SMOOTH: f64 = 0.4;
-/// One outcome counts as at most this many times its prediction, so that a bad plan or a flush cannot close a
-/// whole table group; a true change still gets through in a few outcomes.
+/// One outcome counts as at most this many times its prediction, or a bad plan would close a table group.
 const SURPRISE: f64 = 3.0;
-/// Fingerprints kept; the one unused longest goes first.
 const FINGERPRINTS: usize = 512;
 /// A bucket holds this many seconds of its refill.
 const BURST_S: f64 = 2.0;
-/// Latency per CPU second up to this many times its best is near it.
+/// Latency per CPU second up to the first times its best is near it, past the second a jam.
 const NEAR: f64 = 2.0;
-/// Past this many times its best, an engine is jammed.
 const JAMMED: f64 = 3.0;
-/// The widest bound, in threads a core of the share: latency tells of a jam late, and by then all would
-/// have widened together. Could harm a gateway with far more than its share.
+/// The widest bound, in threads a core of the share: latency tells late, and all would widen together.
 const WIDEST: f64 = 2.0;
+/// Least of the fleet's bound: one that backs off alone from what all cause only leaves them its place.
+const LEAST: f64 = 0.5;
 /// Part of this gateway's share of an engine's memory that running statements may need: estimates scatter.
 const MEMORY: f64 = 0.85;
 /// Part of its hard limit that a statement may be held, in all waits between two relays.
 const HOLD: f64 = 0.05;
+/// Demand is smoothed over this time, by bands each of whose statements cost twice those of the one before.
+const DEMAND_S: f64 = 5.0;
+const BANDS: usize = 16;
 /// How engines that heed ranks share what is short; the wire's ratio.
 const WEIGHTS: [f64; 4] = [1.0, 4.0, 8.0, 16.0];
-/// The rank of everything where ranks are not heeded.
-const USUAL_RANK: u8 = 1;
 /// Part of the multiple of a cold engine's present capacity that all gateways together may reach.
 const COLD_PART: f64 = 0.4;
-/// Failures in a row that bench an engine. A success takes back only a part, so that one which fails or loses
-/// a third of what it takes is caught too; could harm where failures follow the statement.
+/// Failures in a row that bench an engine. A success takes back a part, to catch one that loses a third too.
 const FAILURES: f64 = 3.0;
 
-#[derive(Default)]
-struct Cost {
-    cpu: f64,
-    estimate: f64,
-    used: u64,
-}
-
 /// Predicts CPU seconds by fingerprint. Emptied by the eviction of the one unused longest.
 struct Costs {
-    prints: BTreeMap<(ProductId, GroupId), Cost>,
+    /// Smoothed true CPU and estimate, and when it was last used.
+    prints: BTreeMap<(ProductId, GroupId), (f64, f64, u64)>,
     /// Slow mean of true CPU by product: the usual work, for cold engines and statements with no estimate.
     usual: Vec<(f64, f64)>,
     uses: u64,
 }
 
 impl Costs {
-    fn estimate(&self, s: &Statement) -> f64 {
-        s.estimate.map(Span::secs).filter(|e| *e > 0.0).unwrap_or(1.0)
-    }
-
-    /// An unseen fingerprint borrows the others' median k. Estimates lie too high or low by product, so those
-    /// of the same product come first.
+    /// An unseen fingerprint borrows the others' median k, first of the same product: estimates lie so.
     fn predict(&self, s: &Statement) -> f64 {
-        let ratio = |cost: &Cost| cost.cpu / cost.estimate;
         let others = |own: bool| {
             let of = self.prints.iter().filter(|(print, _)| !own || print.0 == s.product);
-            median(of.map(|(_, cost)| ratio(cost)).collect())
+            median(of.map(|(_, (cpu, estimate, _))| cpu / estimate).collect())
         };
-        let seen = self.prints.get(&(s.product, s.group)).map(ratio);
+        let seen = self.prints.get(&(s.product, s.group)).map(|(cpu, estimate, _)| cpu / estimate);
         let k = seen.or_else(|| others(true)).or_else(|| others(false)).unwrap_or(1.0);
-        (self.estimate(s) * k).clamp(1e-4, 1e5)
+        (estimate(s) * k).clamp(1e-4, 1e5)
     }
 
     fn learn(&mut self, s: &Statement, predicted: f64, cpu: f64) {
-        let estimate = self.estimate(s);
+        let estimate = estimate(s);
         let seen = if self.prints.is_empty() { cpu } else { cpu.min(predicted * SURPRISE) }.max(1e-5);
         self.uses += 1;
-        let cost = self.prints.entry((s.product, s.group)).or_default();
-        let weight = if cost.used == 0 { 1.0 } else { SMOOTH };
-        cost.cpu += weight * (seen - cost.cpu);
-        cost.estimate += weight * (estimate - cost.estimate);
-        cost.used = self.uses;
-        let (mean, seen) = &mut self.usual[s.product.0];
-        *seen = (*seen + 1.0).min(200.0);
-        *mean += (cpu.min(1e4) - *mean) / *seen;
+        let new = (seen, estimate, self.uses);
+        let cost = self.prints.entry((s.product, s.group)).or_insert(new);
+        let smooth = |old: f64, seen: f64| old + SMOOTH * (seen - old);
+        *cost = (smooth(cost.0, seen), smooth(cost.1, estimate), self.uses);
+        let (mean, seen) = self.usual[s.product.0];
+        self.usual[s.product.0] = (mean + (cpu.min(1e4) - mean) / (seen + 1.0), (seen + 1.0).min(199.0));
         if self.prints.len() > FINGERPRINTS {
-            let oldest = self.prints.iter().min_by_key(|(_, c)| c.used);
+            let oldest = self.prints.iter().min_by_key(|(_, cost)| cost.2);
             oldest.map(|(print, _)| *print).map(|print| self.prints.remove(&print));
         }
     }
 }
 
+fn estimate(s: &Statement) -> f64 {
+    s.estimate.map(Span::secs).filter(|e| *e > 0.0).unwrap_or(1.0)
+}
+
 fn median(mut of: Vec<f64>) -> Option<f64> {
     of.sort_by(f64::total_cmp);
     of.get(of.len() / 2).copied()
@@ -110,18 +98,20 @@
 
 impl Lag {
     const MEMORY_S: f64 = 3.0;
-    /// Less CPU than this says nothing.
     const ENOUGH_S: f64 = 0.3;
     /// The best is forgotten at this rate, or one lucky spell would look like a jam for ever after.
     const FORGET_PER_S: f64 = 0.005;
 
-    fn saw(&mut self, now: Moment, thread_s: f64, cpu: f64) {
-        let gone = self.at.map_or(0.0, |at| (now - at).secs().max(0.0));
+    fn fade(&mut self, now: Moment) {
+        let gone = (now - self.at.replace(now).unwrap_or(now)).secs().max(0.0);
         let keep = (-gone / Self::MEMORY_S).exp();
-        self.at = Some(now);
-        self.latency = self.latency * keep + thread_s;
-        self.cpu = self.cpu * keep + cpu;
+        (self.latency, self.cpu) = (self.latency * keep, self.cpu * keep);
         self.best = self.best.map(|best| best * (1.0 + Self::FORGET_PER_S * gone));
+    }
+
+    fn saw(&mut self, now: Moment, thread_s: f64, cpu: f64) {
+        self.fade(now);
+        (self.latency, self.cpu) = (self.latency + thread_s, self.cpu + cpu);
         let seen = self.latency / self.cpu.max(1e-9);
         if self.cpu > 8.0 * Self::ENOUGH_S {
             self.best = Some(self.best.map_or(seen, |best| best.min(seen)));
@@ -132,8 +122,11 @@
         (self.cpu > Self::ENOUGH_S).then(|| self.latency / self.cpu)
     }
 
-    fn over_best(&self) -> Option<f64> {
-        Some(self.now()? / self.best?.max(1e-6))
+    /// What an engine's own few outcomes leave open, the whole fleet's tell.
+    fn over_best(&self, whole: &Lag) -> Option<f64> {
+        let known = whole.now().map_or(0.0, |_| Self::ENOUGH_S);
+        let (latency, cpu) = (self.latency + known * whole.now().unwrap_or(0.0), self.cpu + known);
+        (cpu >= Self::ENOUGH_S).then_some(latency / cpu / self.best.or(whole.best)?.max(1e-6))
     }
 }
 
@@ -147,43 +140,95 @@
     trial: Option<StatementId>,
 }
 
+/// What may run and runs on an engine, and once more on all: a small share of one holds no whole statement.
 #[derive(Clone)]
-struct Engine {
-    fact: EngineFact,
+struct Books {
+    /// This gateway's share of the told cores, and of the memory as far as it may be needed.
     cores: f64,
     memory_mb: f64,
     held_mb: f64,
-    /// CPU seconds left by product.
     left: Vec<f64>,
     filled: Moment,
     bound: f64,
     cut: Moment,
-    /// Running threads by rank.
     threads: [f64; 4],
-    out: u32,
     /// Threads of relays given up that may still run; emptied as their predicted end passes.
     ghosts: Vec<(Moment, f64, u8)>,
     lag: Lag,
-    health: Health,
-    /// What may still be sent while cold, in usual CPU seconds.
-    cold_left: f64,
-    waiting: f64,
 }
 
-impl Engine {
-    /// Running threads as one of this rank meets them: short cores go to ranks in the ratio of `WEIGHTS`, so
-    /// a light statement need not wait for heavy ones that will yield to it.
+impl Books {
+    fn new(now: Moment, cores: f64, memory_mb: f64, products: usize) -> Self {
+        Books {
+            cores,
+            memory_mb,
+            held_mb: 0.0,
+            left: vec![f64::INFINITY; products],
+            filled: now,
+            bound: cores.max(1.0),
+            cut: now,
+            threads: [0.0; 4],
+            ghosts: Vec::new(),
+            lag: Lag::default(),
+        }
+    }
+
+    /// Running threads as one of this rank meets them: light ones need not wait for what yields to them.
     fn running(&self, rank: u8) -> f64 {
         let met = |of: usize, threads: f64| threads * (WEIGHTS[of] / WEIGHTS[rank as usize & 3]).min(1.0);
         let live: f64 = self.threads.iter().enumerate().map(|(of, threads)| met(of, *threads)).sum();
         live + self.ghosts.iter().map(|g| met(g.2 as usize & 3, g.1)).sum::<f64>()
     }
 
-    /// What a full bucket of a product with this share holds.
-    fn full(&self, share: f64, peers: f64) -> f64 {
-        self.cores / peers * share * BURST_S
+    fn full(&self, share: f64) -> f64 {
+        self.cores * share * BURST_S
+    }
+
+    fn fill(&mut self, now: Moment, warmth: f64, demand: &[Demand]) {
+        let gone = (now - self.filled).secs().max(0.0);
+        self.filled = now;
+        self.lag.fade(now);
+        // A slow engine burns as much CPU for longer: its refill shrinks with its bound.
+        let speed = (self.bound / self.cores.max(1e-9)).min(1.0) * warmth;
+        for (left, Demand { share, .. }) in self.left.iter_mut().zip(demand) {
+            *left = (*left + self.cores * share * speed * gone).min(self.cores * share * BURST_S * warmth);
+        }
+    }
+
+    /// A full bucket's debt is repaid whole; near-best latency's ends one bucket below, not minutes away.
+    fn charge(&mut self, p: usize, predicted: f64, full: f64) {
+        let floor = if self.left[p] >= full * 0.99 { f64::NEG_INFINITY } else { self.left[p].min(-full) };
+        self.left[p] = (self.left[p] - predicted).max(floor);
     }
 
+    fn run(&mut self, rank: u8, threads: f64, memory_mb: f64) {
+        let running = &mut self.threads[rank as usize & 3];
+        *running = (*running + threads).max(0.0);
+        self.held_mb = (self.held_mb + memory_mb).max(0.0);
+    }
+
+    /// The thread bound follows latency per CPU second, and only an outcome that met the bound may widen it.
+    fn widen_or_shrink(&mut self, now: Moment, over: f64, threads: f64, (least, most): (f64, f64)) {
+        if over <= NEAR && self.running(0) + threads >= self.bound * 0.7 {
+            self.bound = (self.bound + 0.15 * threads).min((self.cores * most).max(1.0));
+        } else if over > JAMMED && (now - self.cut).secs() > 0.5 {
+            (self.bound, self.cut) = ((self.bound * 0.85).max(self.cores * least).max(1.0), now);
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Engine {
+    fact: EngineFact,
+    books: Books,
+    out: u32,
+    health: Health,
+    /// What may still be sent while cold, in usual CPU seconds.
+    cold_left: f64,
+    waiting: f64,
+}
+
+impl Engine {
     /// Failed answers in a row, or none when one was due, take the engine out for a spell that doubles.
     fn bench(&mut self, now: Moment) {
         self.health.bench = (self.health.bench * 2.0).clamp(1.0, 8.0);
@@ -204,8 +249,7 @@
     rest_until: Option<Moment>,
 }
 
-/// Rule 7, and the module's own ration: counts by slice of the window, so that it holds no entry a statement.
-/// Each slice is its number, statements taken and further relays; slices leave as the window passes them.
+/// Rule 7 and own rations: number, statements taken and relays by slice; slices leave as the window passes.
 struct Spent {
     terms: Ration,
     slices: VecDeque<(i64, f64, f64)>,
@@ -234,27 +278,12 @@
 }
 
 /// Predicted CPU seconds and gain asked for a second, smoothed, and the product's share of each engine.
+#[derive(Default)]
 struct Demand {
     cpu: f64,
     gain: f64,
     share: f64,
-    /// CPU and gain within allowances, by band: each band's statements cost twice those of the one before.
-    bands: [(f64, f64); Demand::BANDS],
-}
-
-impl Demand {
-    const MEMORY_S: f64 = 5.0;
-    const BANDS: usize = 16;
-
-    fn band(cpu: f64) -> usize {
-        (cpu.max(1e-6).log2() + 7.0).clamp(0.0, Self::BANDS as f64 - 1.0) as usize
-    }
-
-    fn fade(&mut self, gone: f64) {
-        let keep = (-gone / Self::MEMORY_S).exp();
-        self.bands.iter_mut().for_each(|band| *band = (band.0 * keep, band.1 * keep));
-        (self.cpu, self.gain) = (self.cpu * keep, self.gain * keep);
-    }
+    bands: [(f64, f64); BANDS],
 }
 
 struct Tenant {
@@ -278,13 +307,14 @@
     cold: Option<ColdStart>,
     relaying: Relaying,
     costs: Costs,
-    /// The longest time a client has given a statement, by product: that of first tries.
-    budgets: Vec<Span>,
     /// Smoothed memory needed and estimated, by product.
     needs: Vec<(f64, f64)>,
     engines: BTreeMap<EngineId, Engine>,
+    whole: Books,
     turns: BTreeMap<OrderKey, Turn>,
     rations: Vec<Spent>,
+    /// Trial statements of benched engines, or a small gateway would spend its traffic on them.
+    trials: Spent,
     listing: Listing,
     /// When the engine list was last asked for, and how soon it is again unless an answer comes.
     asked: (Option<Moment>, f64),
@@ -306,19 +336,17 @@
         let rations = [own].into_iter().chain(relaying.ration);
         Policy {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            demand: products
-                .iter()
-                .map(|_| Demand { cpu: 0.0, gain: 0.0, share, bands: Default::default() })
-                .collect(),
+            demand: products.iter().map(|_| Demand { share, ..Demand::default() }).collect(),
             demand_at: None,
             delivered: 0.0,
             price: 0.0,
             tenants: tenancy.allowances.iter().map(|a| Tenant { left: *a, rate: 0.0, at: None }).collect(),
             costs: Costs { prints: BTreeMap::new(), usual: vec![(0.0, 0.0); products.len()], uses: 0 },
-            budgets: vec![Span::ZERO; products.len()],
             needs: vec![(1.0, 1.0); products.len()],
             engines: BTreeMap::new(),
+            whole: Books::new(Moment::from_secs(0.0), 0.0, 0.0, products.len()),
             turns: BTreeMap::new(),
+            trials: Spent { terms: Ration { free: 1.0, share: 0.05, ..own }, slices: VecDeque::new() },
             rations: rations.map(|terms| Spent { terms, slices: VecDeque::new() }).collect(),
             listing,
             asked: (None, 0.0),
@@ -341,13 +369,10 @@
         let predicted = self.costs.predict(s);
         let left = (s.hard_limit - now).secs();
         // An answer that comes when it earns nothing only takes cores from those that still can.
-        let best = median(self.engines.values().filter_map(|e| e.lag.best).collect()).unwrap_or(1.0);
+        let best = median(self.engines.values().filter_map(|e| e.books.lag.best).collect()).unwrap_or(1.0);
         let alone = predicted / product.threads * best;
-        let useful = if product.late_gain > 0.0 {
-            left
-        } else {
-            left.min(quoted(product, predicted) - (now - s.taken).secs())
-        };
+        let quoted_left = quoted(product, predicted) - (now - s.taken).secs();
+        let useful = if product.late_gain > 0.0 { left } else { left.min(quoted_left) };
         let hopeless = left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || alone * 0.5 > useful;
         let (hold, turn) = (product.hard_limit.secs() * HOLD, self.in_turn(now, s));
         if hopeless || !s.relays.is_empty() && !self.may_relay_again(now) {
@@ -364,32 +389,39 @@
     pub fn after(&mut self, now: Moment, s: &Statement, o: &Outcome) -> After {
         let Some(relay) = s.relays.get(o.relay.0 as usize) else { return After::Stay };
         let predicted = self.costs.predict(s);
-        let (threads, rank, charge) = (relay.threads, relay.rank as usize & 3, relay.charge.secs());
+        let (threads, charge) = (relay.threads, relay.charge.secs());
         let pace = self.fleet.note_pace.map_or(3.0 * predicted + 1.0, |p| p.secs() * 1.25 + 0.3);
         let Some(engine) = self.engines.get_mut(&relay.engine) else { return self.next(now, s, o) };
         if matches!(o.news, News::Progress(_) | News::Strained | News::Streaming) {
             engine.heard(now, pace);
             return self.noted(now, s, relay, o);
         }
-        engine.threads[rank] = (engine.threads[rank] - threads).max(0.0);
         engine.out = engine.out.saturating_sub(1);
-        engine.held_mb = (engine.held_mb - relay.memory_mb).max(0.0);
+        if !matches!(o.news, News::TimedOut | News::Cancelled) {
+            engine.heard(now, pace);
+        }
+        let mut books = [&mut engine.books, &mut self.whole];
+        books.iter_mut().for_each(|b| b.run(relay.rank, -threads, -relay.memory_mb));
         let tried = engine.health.trial == Some(s.id);
-        let expected = charge / threads * engine.lag.now().unwrap_or(1.0).max(1.0);
+        let expected = charge / threads * books[0].lag.now().unwrap_or(1.0).max(1.0);
         // Far past what the engine's pace explains, the statement was lost there.
         let lost = o.news == News::TimedOut && o.latency.secs() > 4.0 * expected + 1.0;
         engine.health.failures += f64::from(u8::from(lost));
         match o.news {
             News::Completed { cpu, memory_mb } => {
-                engine.heard(now, pace);
                 let h = &mut engine.health;
                 (h.failures, h.bench, h.benched_until, h.trial) =
                     (h.failures * 0.8, h.bench * 0.98, None, None);
                 let true_cpu = cpu.map_or(charge, Span::secs);
-                engine.left[s.product.0] += charge - true_cpu;
-                self.delivered += true_cpu / Demand::MEMORY_S;
-                engine.lag.saw(now, o.latency.secs() * threads, true_cpu);
-                widen_or_shrink(engine, now, threads, self.fleet.peers);
+                self.delivered += true_cpu / DEMAND_S;
+                let (fleet, within) =
+                    (books[1].lag.clone(), [(0.0, WIDEST), (LEAST, WIDEST * self.lopsided)]);
+                for (b, within) in books.into_iter().zip(within) {
+                    b.left[s.product.0] += charge - true_cpu;
+                    b.lag.saw(now, o.latency.secs() * threads, true_cpu);
+                    let over = b.lag.over_best(&fleet);
+                    over.into_iter().for_each(|over| b.widen_or_shrink(now, over, threads, within));
+                }
                 cpu.into_iter().for_each(|cpu| self.costs.learn(s, charge, cpu.secs()));
                 if let Some(seen) = memory_mb.filter(|_| s.memory_mb > 0.0) {
                     let needs = &mut self.needs[s.product.0];
@@ -397,17 +429,15 @@
                 }
             }
             News::TurnedAway | News::NeverSent => {
-                engine.heard(now, pace);
-                engine.left[s.product.0] += charge;
-                (engine.bound, engine.cut) = ((engine.bound * 0.8).max(1.0), now);
-            }
-            // The charge stays, or an engine that fails fast would look the emptiest and draw the rest.
-            News::Error | News::Reset | News::Unreachable => {
-                engine.heard(now, pace);
+                books.iter_mut().for_each(|b| b.left[s.product.0] += charge);
+                (engine.books.bound, engine.books.cut) = ((engine.books.bound * 0.8).max(1.0), now);
                 engine.health.failures += 1.0;
             }
+            // The charge stays, or an engine that fails fast would look the emptiest and draw the rest.
+            News::Error | News::Reset | News::Unreachable => engine.health.failures += 1.0,
             News::TimedOut | News::Cancelled if !self.relaying.cancel => {
-                engine.ghosts.push((now + Span::from_secs(predicted / threads), threads, relay.rank));
+                let ghost = (now + Span::from_secs(predicted / threads), threads, relay.rank);
+                books.iter_mut().for_each(|b| b.ghosts.push(ghost));
             }
             _ => {}
         }
@@ -421,52 +451,43 @@
 
     pub fn pause(&mut self, now: Moment, held: usize) -> Pause {
         self.share_out(now);
+        self.whole.ghosts.retain(|g| g.0 > now);
         for engine in self.engines.values_mut() {
-            engine.ghosts.retain(|g| g.0 > now);
-            // Nothing heard when an answer or note was due: hung, cut off or dead, whatever the list says.
-            // Could harm a quiet gateway that one slow statement misleads; the trial mends that.
+            engine.books.ghosts.retain(|g| g.0 > now);
+            // Hung, cut off or dead. Could harm a quiet gateway that one slow statement misleads.
             if engine.health.due.is_some_and(|due| due <= now) {
                 engine.bench(now);
             }
         }
-        self.turns
-            .retain(|_, t| !t.line.is_empty() || t.out.is_some() || t.rest_until.is_some_and(|r| r > now));
-        let wait = Span::from_secs(if held > 0 { 0.02 } else { 0.25 });
-        Pause { wait, probe: Vec::new(), list: self.ask_list(now) }
+        let resting = |turn: &Turn| turn.rest_until.is_some_and(|until| until > now);
+        self.turns.retain(|_, turn| !turn.line.is_empty() || turn.out.is_some() || resting(turn));
+        Pause {
+            wait: Span::from_secs(if held > 0 { 0.02 } else { 0.25 }),
+            list: self.ask_list(now),
+            ..Pause::default()
+        }
     }
 
     pub fn told_list(&mut self, now: Moment, news: &ListNews) {
         self.asked.1 = 0.0;
         let facts = match news {
-            ListNews::Failed => {
-                self.asked = (Some(now), 0.5);
-                return;
-            }
-            ListNews::Changes(facts) => facts,
-            ListNews::Whole(facts) => {
-                self.engines.values_mut().for_each(|engine| engine.fact.stage = Stage::Gone);
-                facts
-            }
+            ListNews::Failed => return self.asked = (Some(now), 0.5),
+            ListNews::Changes(facts) | ListNews::Whole(facts) => facts,
         };
+        if matches!(news, ListNews::Whole(_)) {
+            self.engines.values_mut().for_each(|engine| engine.fact.stage = Stage::Gone);
+        }
+        let peers = self.fleet.peers;
         for fact in facts {
             let scale = if fact.scale > 0.0 && fact.scale.is_finite() { fact.scale } else { 1.0 };
             // Untold cores: the list's sizes still compare engines; eight cores are a plain machine.
-            let told = self.fleet.cores.get(fact.machine.0 as usize).copied().filter(|c| *c > 0.0);
-            let cores = told.unwrap_or(8.0 * scale);
-            let memory_mb = self.fleet.memory_mb.get(fact.machine.0 as usize).copied();
+            let told = |of: &[f64]| of.get(fact.machine.0 as usize).copied().filter(|told| *told > 0.0);
+            let cores = told(&self.fleet.cores).unwrap_or(8.0 * scale);
+            let memory_mb = told(&self.fleet.memory_mb).unwrap_or(f64::INFINITY);
             let fresh = Engine {
                 fact: *fact,
-                cores,
-                memory_mb: memory_mb.filter(|mb| *mb > 0.0).unwrap_or(f64::INFINITY),
-                held_mb: 0.0,
-                left: vec![f64::INFINITY; self.products.len()],
-                filled: now,
-                bound: (cores / self.fleet.peers).max(1.0),
-                cut: now,
-                threads: [0.0; 4],
+                books: Books::new(now, cores / peers, memory_mb / peers * MEMORY, self.products.len()),
                 out: 0,
-                ghosts: Vec::new(),
-                lag: Lag::default(),
                 health: Health::default(),
                 cold_left: 0.0,
                 waiting: 0.0,
@@ -474,13 +495,18 @@
             let engine = self.engines.entry(fact.id).or_insert_with(|| fresh.clone());
             // A new start: what was learned of the old process is void, what is still out there is not.
             if engine.fact.started != fact.started {
-                let (threads, out, held_mb) = (engine.threads, engine.out, engine.held_mb);
-                *engine = Engine { threads, out, held_mb, ..fresh };
+                let (threads, out, held_mb) = (engine.books.threads, engine.out, engine.books.held_mb);
+                *engine = Engine { out, books: Books { threads, held_mb, ..fresh.books }, ..fresh };
             }
             engine.fact = *fact;
         }
         // Gone engines leave once their last relay is over.
         self.engines.retain(|_, e| e.fact.stage != Stage::Gone || e.out > 0);
+        let ready = || self.engines.values().filter(|e| e.fact.stage == Stage::Ready).map(|e| &e.books);
+        let (cores, before) = (ready().map(|b| b.cores).sum::<f64>(), self.whole.cores);
+        let kept = if before > 0.0 { self.whole.bound / before } else { 1.0 };
+        (self.whole.cores, self.whole.bound) = (cores, (cores * kept).max(1.0));
+        self.whole.memory_mb = ready().map(|b| b.memory_mb).sum();
     }
 
     /// Those that wait for memory there are others' too: no time for more, however near its best.
@@ -497,28 +523,22 @@
     fn take(&mut self, now: Moment, s: &Statement) -> Place {
         let predicted = self.costs.predict(s);
         let over_allowance = self.over_allowance(now, s.tenant);
-        let (cpu, gain) = (predicted / Demand::MEMORY_S, self.products[s.product.0].gain / Demand::MEMORY_S);
+        let (cpu, gain) = (predicted / DEMAND_S, self.products[s.product.0].gain / DEMAND_S);
         self.fade_demand(now);
         let demand = &mut self.demand[s.product.0];
         (demand.cpu, demand.gain) = (demand.cpu + cpu, demand.gain + gain);
         if !over_allowance {
-            let band = &mut demand.bands[Demand::band(predicted)];
+            let band = &mut demand.bands[(predicted.log2() + 7.0).clamp(0.0, BANDS as f64 - 1.0) as usize];
             *band = (band.0 + cpu, band.1 + gain);
         }
-        self.rations.iter_mut().for_each(|spent| spent.slice(now).1 += 1.0);
+        self.rations.iter_mut().chain([&mut self.trials]).for_each(|spent| spent.slice(now).1 += 1.0);
         if let Some(key) = self.turn_key(s) {
             self.turns.entry(key).or_default().line.push_back(s.id);
         }
-        // A client's further try comes with less time left.
-        let (budget, product) = (s.hard_limit - s.taken, &self.products[s.product.0]);
-        self.budgets[s.product.0] = self.budgets[s.product.0].max(budget);
-        let further = budget.secs() < self.budgets[s.product.0].secs() * 0.98;
-        let spent = if further { product.hard_limit - budget } else { Span::ZERO };
-        Place { by: s.hard_limit, id: s.id, over_allowance, spent }
+        Place { by: s.hard_limit, id: s.id, over_allowance }
     }
 
-    /// Whether its tenant sends more than its allowance. A gateway that carries more than 1/peers of the
-    /// traffic sees every tenant over: what the least of them is over is its own doing.
+    /// One that carries more than 1/peers sees every tenant over: what the least is over is its own doing.
     fn over_allowance(&mut self, now: Moment, tenant: TenantId) -> bool {
         let peers = self.fleet.peers;
         let allowances = self.tenancy.allowances.iter().map(|a| a / peers);
@@ -543,23 +563,23 @@
 
     fn fade_demand(&mut self, now: Moment) {
         let gone = (now - self.demand_at.replace(now).unwrap_or(now)).secs();
-        self.demand.iter_mut().for_each(|demand| demand.fade(gone));
-        self.delivered *= (-gone / Demand::MEMORY_S).exp();
+        let keep = (-gone / DEMAND_S).exp();
+        for demand in &mut self.demand {
+            demand.bands.iter_mut().for_each(|band| *band = (band.0 * keep, band.1 * keep));
+            (demand.cpu, demand.gain) = (demand.cpu * keep, demand.gain * keep);
+        }
+        self.delivered *= keep;
     }
 
-    /// Shares follow predicted demand, the best gain per CPU second first, so that pressure falls on heavy
-    /// work. The gain per CPU second at which capacity ends is the price that the near-best exception asks.
+    /// Shares follow predicted demand, the best gain per CPU second first: pressure falls on heavy work. The
+    /// gain per CPU second at which capacity ends is the price that the near-best exception asks.
     fn share_out(&mut self, now: Moment) {
         self.fade_demand(now);
-        let ready = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
-        let own = ready.map(|e| e.cores).sum::<f64>() / self.fleet.peers;
-        let all =
-            |(p, demand): (usize, &Demand)| demand.bands.map(|(cpu, gain)| (gain / cpu.max(1e-9), cpu, p));
-        let mut bands: Vec<(f64, f64, usize)> = self.demand.iter().enumerate().flat_map(all).collect();
-        bands.retain(|band| band.1 > 1e-6);
+        let all = |(p, demand): (usize, &Demand)| demand.bands.map(|(cpu, gain)| (gain / cpu, cpu, p));
+        let mut bands: Vec<_> = self.demand.iter().enumerate().flat_map(all).filter(|b| b.1 > 1e-6).collect();
         bands.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.2.cmp(&b.2)));
         // A gateway that carries more than its share of the traffic has shown what it can get done.
-        let capacity = own.max(self.delivered * 1.2);
+        let capacity = self.whole.cores.max(self.delivered * 1.2);
         let mut left = capacity;
         self.demand.iter_mut().for_each(|demand| demand.share = 0.0);
         self.price = 0.0;
@@ -573,19 +593,13 @@
     }
 
     fn fill(&mut self, now: Moment) {
-        let best = median(self.engines.values().filter_map(|e| e.lag.best).collect());
+        let best = median(self.engines.values().filter_map(|e| e.books.lag.best).collect());
+        self.engines.values_mut().for_each(|e| e.books.lag.best = e.books.lag.best.or(best));
+        self.whole.fill(now, 1.0, &self.demand);
         for engine in self.engines.values_mut() {
-            let gone = (now - engine.filled).secs().max(0.0);
-            engine.filled = now;
-            engine.lag.best = engine.lag.best.or(best);
-            let own = engine.cores / self.fleet.peers;
+            let (gone, own) = ((now - engine.books.filled).secs().max(0.0), engine.books.cores);
             let warmth = warmth(self.cold, engine, now);
-            // A slow engine burns as much CPU for longer: its refill shrinks with its bound.
-            let speed = (engine.bound / own).min(1.0) * warmth;
-            for (left, Demand { share, .. }) in engine.left.iter_mut().zip(&self.demand) {
-                let full = own * share * BURST_S * warmth;
-                *left = (*left + own * share * speed * gone).min(full);
-            }
+            engine.books.fill(now, warmth, &self.demand);
             let Some(cold) = self.cold else { continue };
             let rate = own * warmth * COLD_PART * cold.multiple;
             engine.cold_left = (engine.cold_left + rate * gone).min(rate * cold.window.secs() * 0.5);
@@ -594,41 +608,48 @@
 
     fn choose(&mut self, now: Moment, s: &Statement, place: Place, predicted: f64) -> Option<EngineId> {
         self.fill(now);
-        let (rank, need, peers) = (self.rank(s, predicted), self.need_mb(s), self.fleet.peers);
+        let (rank, need) = (self.rank(s, predicted), self.need_mb(s));
         let (p, product, usual) = (s.product.0, &self.products[s.product.0], self.usual(s.product.0));
-        // The client's earlier tries have used up its quoted time; with less time left it would be first in
-        // line, and in a surge engines would do nothing else. Could harm where late answers do count.
-        let spent = (now - s.taken).secs() + place.spent.secs() + predicted / product.threads;
-        let late = product.late_gain <= 0.0 && spent > quoted(product, predicted);
         let pays = product.gain / predicted >= self.price * 0.999;
         let listed = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
         let all: Vec<&Engine> = listed.filter(|e| allowed(product, s, &e.fact, now)).collect();
         // A benched engine gets one trial statement when its spell is over.
-        let back = |h: &Health| h.benched_until.is_none_or(|until| until <= now && h.trial.is_none());
+        let trials = self.trials.room(now);
+        let back =
+            |h: &Health| h.benched_until.is_none_or(|until| until <= now && h.trial.is_none() && trials);
         let mut fit: Vec<&Engine> = all.iter().copied().filter(|e| back(&e.health)).collect();
         // Most bad at once is a common cause, or ours: benching would put the whole load on the rest.
         if fit.len() * 2 < all.len() {
             fit = all;
         }
-        let mut best: Option<(f64, EngineId)> = None;
+        let (share, mut best) = (self.demand[p].share, None::<(f64, EngineId)>);
+        // Slow statements hold memory for longer: its share over the fleet is led by latency.
+        let full_up = self.whole.running(rank) >= self.whole.bound;
+        let ease = self.whole.lag.over_best(&self.whole.lag).map_or(1.0, |over| (1.5 / over).clamp(0.6, 1.2));
+        let room = self.whole.held_mb + need * 0.5 <= self.whole.memory_mb * ease;
         for engine in fit {
             let warmth = warmth(self.cold, engine, now);
-            let (full, left) = (engine.full(self.demand[p].share, self.fleet.peers) * warmth, engine.left[p]);
-            let near = pays && engine.waiting < 1.0 && engine.lag.over_best().is_none_or(|over| over <= NEAR);
-            let (threads, spare) = (product.threads, engine.bound.min(engine.cores / peers) * 0.8);
-            let afford = if late || place.over_allowance {
-                left >= predicted + full * 0.5 && engine.running(rank) + threads <= spare.max(threads)
+            let own = &engine.books;
+            // An engine's bucket that cannot hold one usual statement says nothing; all of them together do.
+            let books = if own.full(share) >= usual { own } else { &self.whole };
+            let (full, left) = (books.full(share) * warmth, books.left[p]);
+            let over = own.lag.over_best(&self.whole.lag);
+            let near = pays && engine.waiting < 1.0 && over.is_none_or(|over| over <= NEAR);
+            let (threads, spare) = (product.threads, books.bound.min(books.cores) * 0.8);
+            let afford = if place.over_allowance {
+                left >= predicted + full * 0.5 && books.running(rank) + threads <= spare.max(threads)
             } else {
                 left >= predicted || left >= full * 0.99 || near
             };
             let cold_ok = warmth >= 1.0 || engine.cold_left >= usual;
-            // Past its memory an engine spills, pages or lines statements up, each far worse than holding
-            // them here. Could harm where estimates are far too high, until bills correct them.
-            let fits = engine.held_mb <= 0.0 || engine.held_mb + need <= engine.memory_mb / peers * MEMORY;
-            if !(afford && fits && cold_ok) || engine.running(rank) >= engine.bound {
+            // Spilling and paging are worse than holding here. Could harm where estimates are too high.
+            let fits = own.held_mb + need <= own.memory_mb
+                || own.held_mb <= 0.3 * own.memory_mb && room
+                || self.whole.held_mb <= 0.0;
+            if !(afford && fits && cold_ok) || own.running(rank) >= own.bound || full_up {
                 continue;
             }
-            // One that just failed this statement comes last.
+            let (full, left) = (own.full(share) * warmth, own.left[p]);
             let last = if s.relays.iter().any(|r| r.engine == engine.fact.id) { 1e3 } else { 0.0 };
             let score = left / full.max(1e-9) - last + self.rng.random::<f64>() * 0.01;
             best = best.filter(|(most, _)| *most >= score).or(Some((score, engine.fact.id)));
@@ -641,21 +662,19 @@
         let threads = self.products[s.product.0].threads;
         let pace = self.fleet.note_pace.map_or(f64::INFINITY, |p| p.secs() * 1.25 + 0.3);
         let engine = self.engines.get_mut(&id).expect("chosen from the table");
-        // A full bucket's debt is repaid whole. What near-best latency let through is charged down to one
-        // bucket below empty: an engine that proved it had the time must not be shut for minutes.
-        let left = engine.left[s.product.0];
-        let full = engine.full(self.demand[s.product.0].share, self.fleet.peers);
-        let floor = if left >= full * 0.99 { f64::NEG_INFINITY } else { left.min(-full) };
-        engine.left[s.product.0] = (left - predicted).max(floor);
+        for books in [&mut engine.books, &mut self.whole] {
+            let full = books.full(self.demand[s.product.0].share);
+            books.charge(s.product.0, predicted, full);
+            books.run(rank, threads, need);
+        }
         engine.cold_left -= usual;
-        engine.threads[rank as usize & 3] += threads;
         engine.out += 1;
-        engine.held_mb += need;
-        let lag = engine.lag.now().unwrap_or(1.0);
+        let lag = engine.books.lag.now().unwrap_or(1.0);
         let due = now + Span::from_secs((4.0 * predicted * lag / threads + 0.5).min(pace));
         engine.health.due = Some(engine.health.due.map_or(due, |d| d.min(due)));
         if engine.health.benched_until.is_some() {
             engine.health.trial = Some(s.id);
+            self.trials.slice(now).2 += 1.0;
         }
         let fact = engine.fact;
         if !s.relays.is_empty() {
@@ -689,22 +708,19 @@
 
     /// Short quoted time first: the light ones hardly slow the heavy, the heavy would ruin the light.
     fn rank(&self, s: &Statement, predicted: f64) -> u8 {
-        if !self.fleet.ranks_heeded {
-            return USUAL_RANK;
-        }
         let total: f64 = self.demand.iter().map(|d| d.cpu).sum::<f64>().max(1e-9);
-        let usual: f64 = (0..self.products.len())
-            .map(|p| quoted(&self.products[p], self.usual(p)) * self.demand[p].cpu / total)
-            .sum();
+        let part = |p: usize| quoted(&self.products[p], self.usual(p)) * self.demand[p].cpu / total;
+        let usual: f64 = (0..self.products.len()).map(part).sum();
         let part = quoted(&self.products[s.product.0], predicted) / usual.max(1e-9);
-        [0.5, 0.8, 1.6].iter().filter(|edge| part < **edge).count() as u8
+        let rank = [0.5, 0.8, 1.6].iter().filter(|edge| part < **edge).count() as u8;
+        if self.fleet.ranks_heeded { rank } else { 1 }
     }
 
     fn noted(&mut self, now: Moment, s: &Statement, relay: &Relay, o: &Outcome) -> After {
         let News::Progress(done) = o.news else { return After::Stay };
         let product = &self.products[s.product.0];
         let (elapsed, left) = ((now - relay.sent).secs(), (s.hard_limit - now).secs());
-        let lag = self.engines.get(&relay.engine).and_then(|e| e.lag.now()).unwrap_or(1.0).max(1.0);
+        let lag = self.engines.get(&relay.engine).and_then(|e| e.books.lag.now()).unwrap_or(1.0).max(1.0);
         let fresh = relay.charge.secs() / product.threads * lag;
         let total = elapsed / done.clamp(0.001, 1.0);
         let pays = total - elapsed > 2.0 * fresh && fresh * 1.3 < left && total > 3.5 * fresh;
@@ -766,8 +782,7 @@
         self.rations.iter_mut().all(|spent| spent.room(now))
     }
 
-    /// Asks again when a call failed or its answer stays away; spread by chance, or every gateway that lost
-    /// its subscription would ask in the same instant.
+    /// Spread by chance, or every gateway that lost its subscription would ask in the same instant.
     fn ask_list(&mut self, now: Moment) -> Option<ListAsk> {
         let (asked, every) = self.asked;
         let again = asked.is_none_or(|asked| every > 0.0 && (now - asked).secs() >= every);
@@ -806,15 +821,3 @@
     };
     placed && s.relays.iter().find(|r| r.state != RelayState::NeverRan).is_none_or(again)
 }
-
-/// The thread bound follows latency per CPU second, and only an outcome that met the bound may widen it.
-fn widen_or_shrink(engine: &mut Engine, now: Moment, threads: f64, peers: f64) {
-    let Some(over) = engine.lag.over_best() else { return };
-    if over <= NEAR {
-        if engine.running(0) + threads >= engine.bound * 0.7 {
-            engine.bound = (engine.bound + 0.15 * threads).min(engine.cores * WIDEST / peers);
-        }
-    } else if over > JAMMED && (now - engine.cut).secs() > 0.5 {
-        (engine.bound, engine.cut) = ((engine.bound * 0.85).max(1.0), now);
-    }
-}
