What runs on after a time-out keeps its threads and memory in the books

Threads and memory now stay in the books for as long as the statement would take at the engine's present pace. A statement never sent no longer counts against its engine. Also covers hung engines whose relays end at the hard limit. Could harm where answers are lost after the work is done: the phantom holds its place for one statement's time. Tried and not taken: full as a sign of a jam for the fleet's bound; stuck threads out of the books up to 0.3 of the bound.

--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -149,8 +149,8 @@
     bound: f64,
     cut: Moment,
     threads: [f64; 4],
-    /// Threads of relays given up that may still run; emptied as their predicted end passes.
-    ghosts: Vec<(Moment, f64, u8)>,
+    /// Rank, threads, memory of relays given up that may run on, until their likely end in a jam.
+    ghosts: Vec<(Moment, u8, f64, f64)>,
     lag: Lag,
 }
 
@@ -173,8 +173,7 @@
     /// Running threads as one of this rank meets them: light ones need not wait for what yields to them.
     fn running(&self, rank: u8) -> f64 {
         let met = |of: usize, threads: f64| threads * (WEIGHTS[of] / WEIGHTS[rank as usize & 3]).min(1.0);
-        let live: f64 = self.threads.iter().enumerate().map(|(of, threads)| met(of, *threads)).sum();
-        live + self.ghosts.iter().map(|g| met(g.2 as usize & 3, g.1)).sum::<f64>()
+        self.threads.iter().enumerate().map(|(of, threads)| met(of, *threads)).sum()
     }
 
     fn full(&self, share: f64) -> f64 {
@@ -204,6 +203,11 @@
         self.held_mb = (self.held_mb + memory_mb).max(0.0);
     }
 
+    fn lay_ghosts(&mut self, now: Moment) {
+        let over: Vec<_> = self.ghosts.extract_if(.., |ghost| ghost.0 <= now).collect();
+        over.into_iter().for_each(|(_, rank, threads, mb)| self.run(rank, -threads, -mb));
+    }
+
     /// The thread bound follows latency per CPU second, and only an outcome that met the bound may widen it.
     fn widen_or_shrink(&mut self, now: Moment, over: f64, threads: f64, (least, most): (f64, f64)) {
         if over <= NEAR && self.running(0) + threads >= self.bound * 0.7 {
@@ -353,7 +357,6 @@
         }
     }
 
-    /// The first ask takes it and gives its place in line.
     pub fn place(&mut self, now: Moment, s: &Statement) -> Answer {
         let Some(place) = s.place else { return Answer::NotYet(self.take(now, s)) };
         if s.relays.iter().any(|r| r.state == RelayState::Out) {
@@ -395,20 +398,24 @@
             engine.heard(now, pace);
         }
         let mut books = [&mut engine.books, &mut self.whole];
-        books.iter_mut().for_each(|b| b.run(relay.rank, -threads, -relay.memory_mb));
         let tried = engine.health.trial.take_if(|id| *id == s.id).is_some();
         let expected = charge / threads * books[0].lag.now().unwrap_or(1.0).max(1.0);
+        let runs_on = !self.relaying.cancel && matches!(o.news, News::TimedOut | News::Cancelled);
+        let until = now + Span::from_secs(if runs_on { expected } else { 0.0 });
+        for b in &mut books {
+            b.ghosts.push((until, relay.rank, threads, relay.memory_mb));
+            b.lay_ghosts(now);
+        }
         // Far past what the engine's pace explains, the statement was lost there.
         let lost = o.news == News::TimedOut && o.latency.secs() > 4.0 * expected + 1.0;
         engine.health.failures += f64::from(u8::from(lost));
         match o.news {
             News::Completed { cpu, memory_mb } => {
                 let h = &mut engine.health;
-                (h.failures, h.bench, h.benched_until, h.trial) =
-                    (h.failures * 0.8, h.bench * 0.98, None, None);
+                (h.failures, h.bench, h.benched_until) = (h.failures * 0.8, h.bench * 0.98, None);
                 let true_cpu = cpu.map_or(charge, Span::secs);
-                let (fleet, within) =
-                    (books[1].lag.clone(), [(0.0, WIDEST), (LEAST, WIDEST * self.lopsided)]);
+                let fleet = books[1].lag.clone();
+                let within = [(0.0, WIDEST), (LEAST, WIDEST * self.lopsided)];
                 self.delivered += true_cpu / DEMAND_S;
                 for (b, within) in books.into_iter().zip(within) {
                     b.left[s.product.0] += charge - true_cpu;
@@ -418,21 +425,17 @@
                 }
                 cpu.into_iter().for_each(|cpu| self.costs.learn(s, charge, cpu.secs()));
                 if let Some(seen) = memory_mb.filter(|_| s.memory_mb > 0.0) {
-                    let needs = &mut self.needs[s.product.0];
-                    *needs = (needs.0 * 0.99 + seen, needs.1 * 0.99 + s.memory_mb);
+                    let (needed, estimated) = self.needs[s.product.0];
+                    self.needs[s.product.0] = (needed * 0.99 + seen, estimated * 0.99 + s.memory_mb);
                 }
             }
             News::TurnedAway | News::NeverSent => {
                 books.iter_mut().for_each(|b| b.left[s.product.0] += charge);
                 (engine.books.bound, engine.books.cut) = ((engine.books.bound * 0.8).max(1.0), now);
-                engine.health.failures += 1.0;
+                engine.health.failures += f64::from(u8::from(o.news == News::TurnedAway));
             }
             // The charge stays, or an engine that fails fast would look the emptiest and draw the rest.
             News::Error | News::Reset | News::Unreachable => engine.health.failures += 1.0,
-            News::TimedOut | News::Cancelled if !self.relaying.cancel => {
-                let ghost = (now + Span::from_secs(predicted / threads), threads, relay.rank);
-                books.iter_mut().for_each(|b| b.ghosts.push(ghost));
-            }
             _ => {}
         }
         if engine.health.failures >= FAILURES || (tried && engine.health.failures >= 1.0) {
@@ -443,9 +446,9 @@
 
     pub fn pause(&mut self, now: Moment, held: usize) -> Pause {
         self.share_out(now);
-        self.whole.ghosts.retain(|g| g.0 > now);
+        self.whole.lay_ghosts(now);
         for engine in self.engines.values_mut() {
-            engine.books.ghosts.retain(|g| g.0 > now);
+            engine.books.lay_ghosts(now);
             // Hung, cut off or dead. Could harm a quiet gateway that one slow statement misleads.
             if engine.health.due.is_some_and(|due| due <= now) {
                 engine.bench(now);
@@ -489,8 +492,8 @@
             let engine = self.engines.entry(fact.id).or_insert_with(|| fresh.clone());
             // A new start: what was learned of the old process is void, what is still out there is not.
             if engine.fact.started != fact.started {
-                let (threads, out, held_mb) = (engine.books.threads, engine.out, engine.books.held_mb);
-                *engine = Engine { out, books: Books { threads, held_mb, ..fresh.books }, ..fresh };
+                let Engine { out, books: Books { threads, held_mb, ghosts, .. }, .. } = engine.clone();
+                *engine = Engine { out, books: Books { threads, held_mb, ghosts, ..fresh.books }, ..fresh };
             }
             engine.fact = *fact;
         }
@@ -803,12 +806,10 @@
     if age >= 1.0 { 1.0 } else { cold.share + (1.0 - cold.share) * age.max(0.0).powi(2) }
 }
 
-/// Half of what a cold engine may be sent by this gateway within the window of rule 4.
 fn cold_budget(books: &Books, cold: ColdStart, warmth: f64) -> f64 {
     books.cores * warmth * COLD_PART * cold.multiple * cold.window.secs() * 0.5
 }
 
-/// Rules 2 and 6.
 fn allowed(product: &Product, s: &Statement, fact: &EngineFact, now: Moment) -> bool {
     let placed = product.locations.as_ref().is_none_or(|of| of.contains(&fact.location))
         && product.machines.as_ref().is_none_or(|of| of.contains(&fact.machine));
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -53,11 +53,15 @@
 }
 
 fn policy_among(peers: f64, seed: u64, products: &[Product], ration: Option<Ration>) -> Policy {
+    policy_with(true, peers, seed, products, ration)
+}
+
+fn policy_with(cancel: bool, peers: f64, seed: u64, products: &[Product], ration: Option<Ration>) -> Policy {
     let (cores, memory_mb, note_pace) = (vec![CORES], vec![1000.0], Some(span(2.0)));
     let fleet = Fleet { peers, cores, memory_mb, note_pace, ranks_heeded: true };
     let cold = ColdStart { share: 0.3, warm_after: span(COLD_S), multiple: 2.0, window: span(1.0) };
     let come_back = Some(span(0.5));
-    let relaying = Relaying { most: 4, cancel: true, come_back, settle: span(0.7), ration };
+    let relaying = Relaying { most: 4, cancel, come_back, settle: span(0.7), ration };
     let tenancy = Tenancy { allowances: vec![400.0, 100.0], over_gain: 0.1 };
     let listing = Listing { on_request: false, ask_within: span(10.0) };
     Policy::new(seed, products.to_vec(), tenancy, fleet, Some(cold), relaying, listing)
@@ -549,3 +553,19 @@
     let chosen: std::collections::BTreeSet<_> = (0..50).filter_map(first).collect();
     assert!(chosen.len() > 15, "{}", chosen.len());
 }
+
+#[test]
+fn what_runs_on_after_a_time_out_keeps_its_threads() {
+    let mut world = World::new(1, vec![product(Effect::Idempotent)], &[engine(0, None)], None);
+    world.policy = policy_with(false, PEERS, 1, &world.products, None);
+    world.policy.told_list(at(world.now), &ListNews::Whole(vec![engine(0, None)]));
+    let sent = sent_at_once(&mut world, 0, 4.0, 20);
+    let out: Vec<_> = world.hand.values().filter(|h| !h.s.relays.is_empty()).map(|h| h.s.id).collect();
+    world.now += 0.01;
+    out.iter().for_each(|id| world.outcome(*id, News::TimedOut));
+    let more = sent_at_once(&mut world, 0, 4.0, 20);
+    assert!(sent >= 4 && more == 0, "{sent}, then {more}");
+    world.now += 5.0;
+    world.policy.pause(at(world.now), 0);
+    assert!(sent_at_once(&mut world, 0, 4.0, 20) > 0);
+}
