--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,229 @@
+//! The decisions in blocking style, as a client library is called: `pick` an engine for a statement,
+//! `report` what became of a relay, `tick` for the held statements now due and when to wake. Facts are told
+//! in beside them. It owns the statements in hand, the line and the states of relays; it decides nothing.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use admission::interface::*;
+use admission::policy::Policy;
+
+/// What a statement asks for, as far as the decisions need it.
+#[derive(Clone, Copy, Debug)]
+pub struct Wants {
+    pub product: ProductId,
+    pub tenant: TenantId,
+    pub group: GroupId,
+    pub estimate: Option<Span>,
+    pub memory_mb: f64,
+    pub key: Option<OrderKey>,
+    /// How long its client still waits.
+    pub budget: Span,
+}
+
+/// A relay to be made now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Order {
+    pub relay: RelayNo,
+    pub engine: EngineId,
+    pub limit: Option<Span>,
+    /// When the relay has timed out: its limit, cut to the statement's.
+    pub due: Moment,
+    pub rank: Option<u8>,
+    /// The statement's rank differs from that of its relay before.
+    pub rank_changed: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pick {
+    Relay(Order),
+    /// It waits in line; a later `tick` names it.
+    Held,
+    Deny {
+        come_back: Option<Span>,
+    },
+    Scrap,
+}
+
+/// What an outcome leads to beyond the books.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    Nothing,
+    Cancel(RelayNo),
+    Deny { come_back: Option<Span> },
+    Scrap,
+}
+
+#[derive(Debug, Default)]
+pub struct Tick {
+    /// Never `Pick::Held`.
+    pub due: Vec<(StatementId, Pick)>,
+    pub probe: Vec<EngineId>,
+    pub list: Option<ListAsk>,
+    pub wait: Span,
+}
+
+struct InHand {
+    statement: Statement,
+    over: bool,
+    rank: Option<u8>,
+}
+
+/// One gateway's decisions; shares nothing with another.
+pub struct Dispatch {
+    policy: Policy,
+    /// Emptied by the final answer and the end of the last relay.
+    hand: BTreeMap<StatementId, InHand>,
+    line: BTreeSet<Place>,
+}
+
+impl Dispatch {
+    pub fn new(policy: Policy) -> Self {
+        Dispatch { policy, hand: BTreeMap::new(), line: BTreeSet::new() }
+    }
+
+    /// Takes a statement. One that is in hand already stays as it is.
+    pub fn pick(&mut self, now: Moment, id: StatementId, wants: &Wants) -> Pick {
+        if self.hand.contains_key(&id) {
+            return Pick::Held;
+        }
+        let statement = Statement {
+            id,
+            product: wants.product,
+            tenant: wants.tenant,
+            group: wants.group,
+            estimate: wants.estimate,
+            memory_mb: wants.memory_mb,
+            key: wants.key,
+            taken: now,
+            hard_limit: now + wants.budget,
+            held_since: now,
+            place: None,
+            relays: Vec::new(),
+        };
+        self.hand.insert(id, InHand { statement, over: false, rank: None });
+        // The first ask only gives the place in line; the line is asked by `tick`, once all news is in.
+        self.ask(now, id)
+    }
+
+    /// What became of a relay, or a note of one still out. `settled`: the client has its answer.
+    pub fn report(
+        &mut self,
+        now: Moment,
+        id: StatementId,
+        relay: RelayNo,
+        news: News,
+        latency: Span,
+        settled: bool,
+    ) -> Verdict {
+        let Some(in_hand) = self.hand.get_mut(&id) else { return Verdict::Nothing };
+        let Some(out) = in_hand.statement.relays.get_mut(usize::from(relay.0)) else {
+            return Verdict::Nothing;
+        };
+        if out.state != RelayState::Out {
+            return Verdict::Nothing;
+        }
+        match news {
+            News::Progress(_) | News::Strained | News::Streaming => {}
+            News::TurnedAway | News::Unreachable | News::NeverSent => out.state = RelayState::NeverRan,
+            _ => out.state = RelayState::MayHaveRun,
+        }
+        let settled = settled || in_hand.over;
+        let verdict =
+            match self.policy.after(now, &in_hand.statement, &Outcome { relay, news, latency, settled }) {
+                After::Stay => Verdict::Nothing,
+                After::Cancel(relay) => Verdict::Cancel(relay),
+                After::Ask => {
+                    in_hand.statement.held_since = now;
+                    in_hand.statement.place.map(|place| self.line.insert(place));
+                    Verdict::Nothing
+                }
+                After::Over => {
+                    in_hand.over = true;
+                    Verdict::Nothing
+                }
+                After::Deny { come_back } => {
+                    in_hand.over = true;
+                    Verdict::Deny { come_back }
+                }
+                After::Scrap => {
+                    in_hand.over = true;
+                    Verdict::Scrap
+                }
+            };
+        self.forget(id);
+        verdict
+    }
+
+    /// Asks for all that wait, the earliest hard limit first.
+    pub fn tick(&mut self, now: Moment) -> Tick {
+        let mut due = Vec::new();
+        for place in self.line.iter().copied().collect::<Vec<_>>() {
+            let pick = self.ask(now, place.id);
+            if pick != Pick::Held {
+                due.push((place.id, pick));
+            }
+        }
+        let pause = self.policy.pause(now, self.line.len());
+        Tick { due, probe: pause.probe, list: pause.list, wait: pause.wait }
+    }
+
+    /// The client no longer waits: no answer is owed, relays out still report.
+    pub fn gone(&mut self, id: StatementId) {
+        let Some(in_hand) = self.hand.get_mut(&id) else { return };
+        in_hand.over = true;
+        self.policy.told_over(&in_hand.statement);
+        in_hand.statement.place.map(|place| self.line.remove(&place));
+        self.forget(id);
+    }
+
+    pub fn told_list(&mut self, now: Moment, news: &ListNews) {
+        self.policy.told_list(now, news);
+    }
+
+    pub fn told_load(&mut self, engine: EngineId, report: &LoadReport) {
+        self.policy.told_load(engine, report);
+    }
+
+    /// The gateway ends: what is in hand is to be answered by then.
+    pub fn answer_by(&mut self, by: Moment) {
+        for in_hand in self.hand.values_mut() {
+            in_hand.statement.hard_limit = in_hand.statement.hard_limit.min(by);
+        }
+    }
+
+    /// A statement leaves once it is over and its last relay has an outcome.
+    fn forget(&mut self, id: StatementId) {
+        let done = |h: &InHand| h.over && h.statement.relays.iter().all(|r| r.state != RelayState::Out);
+        if self.hand.get(&id).is_some_and(done) {
+            self.hand.remove(&id);
+        }
+    }
+
+    fn ask(&mut self, now: Moment, id: StatementId) -> Pick {
+        let Some(in_hand) = self.hand.get_mut(&id) else { return Pick::Held };
+        let answer = self.policy.place(now, &in_hand.statement);
+        if let Answer::NotYet(place) = answer {
+            in_hand.statement.place = Some(place);
+            self.line.insert(place);
+            return Pick::Held;
+        }
+        in_hand.statement.place.map(|place| self.line.remove(&place));
+        let pick = match answer {
+            Answer::Send { relay, limit, rank } => {
+                let number = RelayNo(in_hand.statement.relays.len() as u16);
+                let rank_changed = rank.is_some() && rank != in_hand.rank;
+                in_hand.rank = rank.or(in_hand.rank);
+                in_hand.statement.relays.push(relay);
+                let hard_limit = in_hand.statement.hard_limit;
+                let due = limit.map_or(hard_limit, |limit| hard_limit.min(now + limit));
+                let (engine, relay) = (relay.engine, number);
+                return Pick::Relay(Order { relay, engine, limit, due, rank, rank_changed });
+            }
+            Answer::Deny { come_back } => Pick::Deny { come_back },
+            Answer::Scrap | Answer::NotYet(_) => Pick::Scrap,
+        };
+        in_hand.over = true;
+        self.forget(id);
+        pick
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/board/mod.rs
@@ -0,0 +1,272 @@
+//! The notice board: long polls for the list's events. A poll that is slow stays open while a fresh one is
+//! made beside it: a board that answers late is still heard, and a silent connection hides nothing.
+
+pub mod list;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use admission::interface::*;
+use tracing::{debug, info, warn};
+
+pub use list::{Event, Events, ListError};
+
+use crate::counters::Counters;
+use crate::socket::{Loop, Peer, Socket};
+
+/// Network facts, against the 7 s after which an event counts as told however slow the board is. How long
+/// the board may linger; how much later than that a poll is late and another goes out beside it; when a poll
+/// is given up; how many run at once; the longest wait after failures; the largest answer.
+const LINGER_S: f64 = 1.0;
+const LATE_S: f64 = 0.5;
+const GIVE_UP_S: f64 = 7.0;
+const POLLS: usize = 4;
+const LONGEST_WAIT_S: f64 = 1.0;
+const FIRST_WAIT_S: f64 = 0.05;
+const LARGEST: usize = 1 << 20;
+
+struct Poll {
+    socket: Socket,
+    asked: Moment,
+    /// The number it asked from.
+    watch: u64,
+    connecting: bool,
+    late: bool,
+}
+
+pub struct Board {
+    handle: Loop,
+    address: SocketAddr,
+    next: u64,
+    /// Four at most.
+    polls: BTreeMap<u64, Poll>,
+    last: u64,
+    ask_at: Option<Moment>,
+    wait: Span,
+    events: Vec<Event>,
+}
+
+enum Answered {
+    NotYet,
+    Events(Events, bool),
+    Nonsense(String),
+}
+
+impl Board {
+    pub fn new(handle: &Loop, address: SocketAddr, last: u64, now: Moment) -> Self {
+        Board {
+            handle: handle.clone(),
+            address,
+            next: 0,
+            polls: BTreeMap::new(),
+            last,
+            ask_at: Some(now),
+            wait: Span::from_secs(FIRST_WAIT_S),
+            events: Vec::new(),
+        }
+    }
+
+    pub fn open(&self) -> usize {
+        self.polls.len()
+    }
+
+    pub fn events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    pub fn next_due(&self) -> Option<Moment> {
+        let poll = |p: &Poll| p.asked + Span::from_secs(if p.late { GIVE_UP_S } else { LINGER_S + LATE_S });
+        self.polls.values().map(poll).chain(self.ask_at).min()
+    }
+
+    pub fn expire(&mut self, now: Moment, counters: &mut Counters) {
+        let since = |p: &Poll| (now - p.asked).secs();
+        for (at, poll) in &mut self.polls {
+            if !poll.late && since(poll) >= LINGER_S + LATE_S {
+                debug!(at, "notice board is late");
+                poll.late = true;
+                self.ask_at = Some(now);
+            }
+        }
+        let before = self.polls.len();
+        self.polls.retain(|_, poll| since(poll) < GIVE_UP_S);
+        counters.polls_failed += (before - self.polls.len()) as u64;
+        if self.ask_at.is_some_and(|at| at <= now) {
+            self.ask(now, counters);
+        }
+    }
+
+    fn ask(&mut self, now: Moment, counters: &mut Counters) {
+        self.ask_at = None;
+        if self.polls.len() >= POLLS {
+            self.polls.pop_first();
+            counters.polls_failed += 1;
+        }
+        let at = self.next;
+        self.next += 1;
+        match Socket::connect(self.address, &self.handle, Peer::Board(at)) {
+            Ok(socket) => {
+                let mut poll = Poll { socket, asked: now, watch: self.last, connecting: true, late: false };
+                self.question(now, &mut poll, counters);
+                self.polls.insert(at, poll);
+            }
+            Err(error) => self.failed(now, &error.to_string(), counters),
+        }
+    }
+
+    fn question(&self, now: Moment, poll: &mut Poll, counters: &mut Counters) {
+        counters.polls += 1;
+        (poll.asked, poll.watch, poll.late) = (now, self.last, false);
+        let linger = (LINGER_S * 1e3) as u64;
+        let question = format!(
+            "GET /board/poll?watch={}&linger={linger} HTTP/1.1\r\nHost: {}\r\n\r\n",
+            self.last, self.address
+        );
+        poll.socket.put(question.as_bytes());
+    }
+
+    /// Growing waits, but far below the time after which events count as told.
+    fn failed(&mut self, now: Moment, why: &str, counters: &mut Counters) {
+        counters.polls_failed += 1;
+        debug!(why, "poll failed");
+        if self.polls.values().all(|poll| poll.late) {
+            self.ask_at = Some(now + self.wait);
+            self.wait = Span::from_secs((self.wait.secs() * 2.0).min(LONGEST_WAIT_S));
+        }
+    }
+
+    pub fn ready(&mut self, now: Moment, at: u64, counters: &mut Counters) {
+        let Some(poll) = self.polls.get_mut(&at) else { return };
+        if poll.connecting {
+            match poll.socket.connected() {
+                Ok(true) => poll.connecting = false,
+                Ok(false) => return,
+                Err(error) => {
+                    self.polls.remove(&at);
+                    return self.failed(now, &error.to_string(), counters);
+                }
+            }
+        }
+        let read = poll.socket.flush().and_then(|()| poll.socket.fill(LARGEST));
+        match answer(&mut poll.socket) {
+            Answered::Events(events, keep) => {
+                let (watch, ended) = (poll.watch, poll.socket.ended);
+                let mut poll = self.polls.remove(&at).filter(|_| keep && !ended && read.is_ok());
+                self.wait = Span::from_secs(FIRST_WAIT_S);
+                self.take(watch, events, counters);
+                if self.polls.values().any(|poll| !poll.late) {
+                    return;
+                }
+                match &mut poll {
+                    Some(poll) => {
+                        self.question(now, poll, counters);
+                        let _ = poll.socket.flush();
+                    }
+                    None => self.ask_at = Some(now),
+                }
+                poll.map(|poll| self.polls.insert(at, poll));
+            }
+            Answered::NotYet if read.is_ok() && !poll.socket.ended => {}
+            Answered::NotYet => {
+                self.polls.remove(&at);
+                self.failed(now, "closed before its answer", counters);
+            }
+            Answered::Nonsense(why) => {
+                warn!(why, "notice board answers nonsense");
+                self.polls.remove(&at);
+                self.failed(now, &why, counters);
+            }
+        }
+    }
+
+    /// Takes what follows on the last event, in order. A number below what was asked from means that the
+    /// board counts anew; a gap, that something was missed: both are asked for from the start.
+    fn take(&mut self, watch: u64, answer: Events, counters: &mut Counters) {
+        if answer.last < watch {
+            info!(last = answer.last, watch, "notice board counts anew");
+            self.last = 0;
+            return;
+        }
+        let mut events = answer.events;
+        events.sort_by_key(|event| event.number);
+        for event in events {
+            if event.number <= self.last {
+                continue;
+            }
+            let whole = event.list.as_ref().is_some_and(|change| change.whole);
+            if event.number != self.last + 1 && !whole {
+                warn!(number = event.number, last = self.last, "gap in the notice board's events");
+                self.last = 0;
+                return;
+            }
+            self.last = event.number;
+            counters.list_events += 1;
+            self.events.push(event);
+        }
+    }
+}
+
+/// Takes a whole answer off the inbox; true with it if the connection carries another question.
+fn answer(socket: &mut Socket) -> Answered {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut response = httparse::Response::new(&mut headers);
+    let head = match response.parse(&socket.inbox) {
+        Ok(httparse::Status::Complete(head)) => head,
+        Ok(httparse::Status::Partial) if socket.inbox.len() >= LARGEST => {
+            return Answered::Nonsense("a head without an end".into());
+        }
+        Ok(httparse::Status::Partial) => return Answered::NotYet,
+        Err(error) => return Answered::Nonsense(error.to_string()),
+    };
+    if response.code != Some(200) {
+        return Answered::Nonsense(format!("status {:?}", response.code));
+    }
+    let header = |name: &str| {
+        let mut of = response.headers.iter().filter(|header| header.name.eq_ignore_ascii_case(name));
+        of.next().and_then(|header| std::str::from_utf8(header.value).ok()).map(str::trim)
+    };
+    let keep = !header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    let chunked = header("transfer-encoding").is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
+    let length = header("content-length").map(str::parse::<usize>);
+    let (body, end) = match length {
+        _ if chunked => match unchunk(&socket.inbox[head..]) {
+            Ok(Some((body, end))) => (body, head + end),
+            Ok(None) if socket.inbox.len() < LARGEST && !socket.ended => return Answered::NotYet,
+            _ => return Answered::Nonsense("a chunk that is none".into()),
+        },
+        Some(Ok(length)) if length <= LARGEST => {
+            let Some(body) = socket.inbox.get(head..head + length) else { return Answered::NotYet };
+            (body.to_vec(), head + length)
+        }
+        None if socket.ended => (socket.inbox[head..].to_vec(), socket.inbox.len()),
+        None if socket.inbox.len() < LARGEST => return Answered::NotYet,
+        _ => return Answered::Nonsense("a length that is none, or too large".into()),
+    };
+    let _ = socket.inbox.split_to(end);
+    let json: Result<serde_json::Value, _> = serde_json::from_slice(&body);
+    match json.map_err(|e| e.to_string()).and_then(|j| Events::from_json(&j).map_err(|e| e.to_string())) {
+        Ok(events) => Answered::Events(events, keep),
+        Err(why) => Answered::Nonsense(why),
+    }
+}
+
+/// The joined chunks and where they end, once all are there.
+fn unchunk(from: &[u8]) -> Result<Option<(Vec<u8>, usize)>, httparse::InvalidChunkSize> {
+    let (mut body, mut at) = (Vec::new(), 0);
+    loop {
+        let httparse::Status::Complete((head, size)) = httparse::parse_chunk_size(&from[at..])? else {
+            return Ok(None);
+        };
+        let size = usize::try_from(size).map_err(|_| httparse::InvalidChunkSize)?;
+        let start = at + head;
+        let end = start.checked_add(size).and_then(|end| end.checked_add(2));
+        let Some(chunk) = end.and_then(|end| from.get(start..end)) else {
+            return if size > LARGEST { Err(httparse::InvalidChunkSize) } else { Ok(None) };
+        };
+        at = start + size + 2;
+        if size == 0 {
+            return Ok(Some((body, at)));
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/clients/packets.rs
@@ -0,0 +1,225 @@
+//! The MySQL client protocol 4.1, the server's side: packets in, packets out.
+
+use bytes::{Buf, BytesMut};
+use mysql_common::constants::{CapabilityFlags, ColumnType, StatusFlags};
+use mysql_common::io::ParseBuf;
+use mysql_common::misc::raw::{RawBytes, bytes::LenEnc};
+use mysql_common::packets::{Column, ErrPacket, HandshakePacket, HandshakeResponse, ServerError, SqlState};
+use mysql_common::proto::{MyDeserialize, MySerialize};
+use thiserror::Error;
+
+/// Network fact: the largest packet a client of this protocol has reason to send.
+pub const LARGEST: usize = 64 << 10;
+/// Accounts are checked by user and database alone: the protocol has an empty password.
+const USER: &[u8] = b"app";
+const DATABASE: &[u8] = b"warehouse";
+const UTF8: u8 = 33;
+
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("a packet of over {LARGEST} bytes")]
+pub struct TooLarge;
+
+pub struct Packet {
+    pub seq: u8,
+    pub body: BytesMut,
+}
+
+/// Takes one whole packet off the front, if it is all there.
+pub fn take(from: &mut BytesMut) -> Result<Option<Packet>, TooLarge> {
+    if from.len() < 4 {
+        return Ok(None);
+    }
+    let length = from.get_uint_le_at(3);
+    if length > LARGEST {
+        return Err(TooLarge);
+    }
+    if from.len() < 4 + length {
+        return Ok(None);
+    }
+    let seq = from[3];
+    from.advance(4);
+    Ok(Some(Packet { seq, body: from.split_to(length) }))
+}
+
+trait Peek {
+    fn get_uint_le_at(&self, bytes: usize) -> usize;
+}
+
+impl Peek for BytesMut {
+    fn get_uint_le_at(&self, bytes: usize) -> usize {
+        self[..bytes].iter().rev().fold(0, |sum, byte| sum << 8 | usize::from(*byte))
+    }
+}
+
+/// Packets of one answer, numbered on from the question's.
+pub struct Answer {
+    seq: u8,
+    pub bytes: Vec<u8>,
+}
+
+impl Answer {
+    pub fn to(seq: u8) -> Self {
+        Answer { seq: seq.wrapping_add(1), bytes: Vec::new() }
+    }
+
+    fn packet(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
+        let at = self.bytes.len();
+        self.bytes.extend([0, 0, 0, self.seq]);
+        write(&mut self.bytes);
+        let length = self.bytes.len() - at - 4;
+        self.bytes[at..at + 3].copy_from_slice(&(length as u32).to_le_bytes()[..3]);
+        self.seq = self.seq.wrapping_add(1);
+    }
+
+    pub fn ok(mut self) -> Vec<u8> {
+        // No rows changed, no id; autocommit; no warnings.
+        self.packet(|out| out.extend([0, 0, 0, 2, 0, 0, 0]));
+        self.bytes
+    }
+
+    pub fn error(mut self, code: u16, state: &[u8; 5], text: &str) -> Vec<u8> {
+        let error = ServerError::new(code, Some(SqlState::new(*state)), text.as_bytes());
+        self.packet(|out| ErrPacket::Error(error).serialize(out));
+        self.bytes
+    }
+
+    fn eof(&mut self) {
+        self.packet(|out| out.extend([0xfe, 0, 0, 2, 0]));
+    }
+
+    fn columns(&mut self, names: &[&str]) {
+        self.packet(|out| out.push(names.len() as u8));
+        for name in names {
+            let column = Column::new(ColumnType::MYSQL_TYPE_VAR_STRING).with_name(name.as_bytes());
+            let column = column.with_character_set(UTF8.into()).with_column_length(1 << 16);
+            self.packet(|out| column.serialize(out));
+        }
+        self.eof();
+    }
+
+    fn row<'a>(&mut self, values: impl Iterator<Item = &'a [u8]>) {
+        self.packet(|out| values.for_each(|value| RawBytes::<LenEnc>::new(value).serialize(out)));
+    }
+
+    /// A result of whole rows as the engine's pages hold them: a tab between columns, a line feed after each.
+    pub fn result<'a>(mut self, pages: impl Iterator<Item = &'a [u8]>) -> Vec<u8> {
+        self.columns(&["c1", "c2", "c3"]);
+        for page in pages {
+            for row in page.split_inclusive(|byte| *byte == b'\n') {
+                let row = row.strip_suffix(b"\n").unwrap_or(row);
+                self.row(row.split(|byte| *byte == b'\t'));
+            }
+        }
+        self.eof();
+        self.bytes
+    }
+
+    /// What a client's own set-up asks: one value, or none of our concern.
+    pub fn value(mut self, name: &str, value: &[u8]) -> Vec<u8> {
+        self.columns(&[name]);
+        self.row([value].into_iter());
+        self.eof();
+        self.bytes
+    }
+}
+
+pub fn greeting(connection: u32) -> Vec<u8> {
+    let capabilities = CapabilityFlags::CLIENT_LONG_PASSWORD
+        | CapabilityFlags::CLIENT_LONG_FLAG
+        | CapabilityFlags::CLIENT_CONNECT_WITH_DB
+        | CapabilityFlags::CLIENT_PROTOCOL_41
+        | CapabilityFlags::CLIENT_TRANSACTIONS
+        | CapabilityFlags::CLIENT_SECURE_CONNECTION
+        | CapabilityFlags::CLIENT_PLUGIN_AUTH;
+    let packet = HandshakePacket::new(
+        10,
+        &b"8.0.0-laurelhitch"[..],
+        connection,
+        // No password is ever checked with it.
+        *b"laurel--",
+        Some(&b"hitch-------\0"[..]),
+        capabilities,
+        UTF8,
+        StatusFlags::SERVER_STATUS_AUTOCOMMIT,
+        Some(&b"mysql_native_password"[..]),
+    );
+    let mut answer = Answer::to(u8::MAX);
+    answer.packet(|out| packet.serialize(out));
+    answer.bytes
+}
+
+/// Why a login is turned down, as code, state and text.
+pub type Denied = (u16, &'static [u8; 5], &'static str);
+
+pub fn login(body: &[u8]) -> Result<(), Denied> {
+    let malformed = (1043, b"08S01", "Bad handshake");
+    let response = HandshakeResponse::deserialize((), &mut ParseBuf(body)).map_err(|_| malformed)?;
+    if !response.capabilities().contains(CapabilityFlags::CLIENT_PROTOCOL_41) {
+        return Err(malformed);
+    }
+    if response.user() != USER || !response.scramble_buf().is_empty() {
+        return Err((1045, b"28000", "Access denied"));
+    }
+    if response.db_name().is_some_and(|name| !name.is_empty() && name != DATABASE) {
+        return Err((1049, b"42000", "Unknown database"));
+    }
+    Ok(())
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Command<'a> {
+    Quit,
+    Ping,
+    /// Nothing to do, and done: the database is the one there is, a session has no state to reset.
+    Fine,
+    Query(&'a [u8]),
+    Unknown,
+}
+
+pub fn command(body: &[u8]) -> Command<'_> {
+    match body {
+        [0x01, ..] => Command::Quit,
+        [0x02, name @ ..] if name == DATABASE => Command::Fine,
+        [0x03, text @ ..] => Command::Query(text),
+        [0x0e, ..] => Command::Ping,
+        [0x1b, _, _] | [0x1f, ..] => Command::Fine,
+        _ => Command::Unknown,
+    }
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Query<'a> {
+    Statement,
+    Kill {
+        connection: u32,
+        whole: bool,
+    },
+    /// Of an ordinary client's set-up: `SET` and the like.
+    Fine,
+    /// `SELECT @@name`, with its name.
+    Variable(&'a str),
+}
+
+pub fn query(text: &[u8]) -> Query<'_> {
+    let Ok(plain) = std::str::from_utf8(text) else { return Query::Statement };
+    let plain = plain.trim().trim_end_matches(';').trim_end();
+    let mut words = plain.split_ascii_whitespace();
+    let mut word = || words.next().unwrap_or("");
+    let (first, second, third, more) = (word(), word(), word(), word());
+    let is = |word: &str, name: &str| word.eq_ignore_ascii_case(name);
+    if is(first, "kill") {
+        let whole = !is(second, "query");
+        let number = if whole && !is(second, "connection") { second } else { third };
+        return number.parse().map_or(Query::Statement, |connection| Query::Kill { connection, whole });
+    }
+    let plain_words = ["set", "use", "begin", "commit", "rollback", "start"];
+    if plain_words.iter().any(|name| is(first, name)) {
+        return Query::Fine;
+    }
+    match second.strip_prefix("@@") {
+        Some(_) if is(first, "select") && (third.is_empty() || is(third, "limit") && !more.is_empty()) => {
+            Query::Variable(second)
+        }
+        _ => Query::Statement,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/clock.rs
@@ -0,0 +1,28 @@
+//! The Unix clock as moments. Read once, then run on by the monotonic clock: a step of the system's clock
+//! would end relays early or never.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use admission::interface::{Moment, Span};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    unix: Duration,
+    at: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix, at: Instant::now() }
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment::from_secs((self.unix + self.at.elapsed()).as_secs_f64())
+    }
+}
+
+/// How long to sleep; past moments need none.
+pub fn duration(span: Span) -> Duration {
+    Duration::from_secs_f64(span.secs().max(0.0))
+}
--- /dev/null
+++ b/crates/gateway/src/config.rs
@@ -0,0 +1,61 @@
+//! The configuration: one JSON file, named by the environment.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde_json::Value;
+use settings::{Settings, SettingsError};
+use thiserror::Error;
+
+use crate::board::{Events, ListError};
+
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    #[error("RELAY_CONFIG is not set")]
+    NoPath,
+    #[error("configuration {0}: {1}")]
+    Unreadable(String, std::io::Error),
+    #[error("configuration: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("configuration: {0} is missing or cannot be used")]
+    Field(&'static str),
+    #[error("configuration: known: {0}")]
+    Known(#[from] ListError),
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+}
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub board: SocketAddr,
+    pub known: Events,
+    pub settings: Settings,
+}
+
+impl Config {
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(path.display().to_string(), e))?;
+        Self::parse(&text)
+    }
+
+    pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
+        let json: Value = serde_json::from_slice(text)?;
+        let text = |name: &'static str| json[name].as_str().ok_or(ConfigError::Field(name));
+        let address = |name| text(name)?.parse().map_err(|_| ConfigError::Field(name));
+        let settings =
+            json.get("settings").filter(|s| s.is_object()).ok_or(ConfigError::Field("settings"))?;
+        let sockets = json["limits"]["sockets"].as_u64().filter(|n| (16..=1 << 20).contains(n));
+        Ok(Config {
+            name: text("name")?.to_owned(),
+            listen: address("listen")?,
+            seed: u64::from_str_radix(text("seed")?, 16).map_err(|_| ConfigError::Field("seed"))?,
+            sockets: sockets.ok_or(ConfigError::Field("limits.sockets"))? as usize,
+            board: address("board")?,
+            known: Events::from_json(&json["known"])?,
+            settings: Settings::from_json(settings),
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/counters.rs
@@ -0,0 +1,59 @@
+//! What came in, went out and was answered, printed on request (SIGUSR1) and at exit.
+
+use std::fmt;
+
+macro_rules! counters {
+    ($($name:ident: $what:literal),* $(,)?) => {
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters {
+            $(#[doc = $what] pub $name: u64,)*
+        }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(write!(f, concat!(stringify!($name), "={} "), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    sessions_opened: "clients accepted",
+    sessions_closed: "clients closed, by either side",
+    logins_denied: "wrong user, password or database",
+    statements_taken: "statements put before the decisions",
+    statements_unusable: "answered with an error before any decision",
+    completed: "results passed to their client",
+    denied: "refused: trying again is harmless",
+    scrapped: "ended with an error",
+    client_left: "their client left or killed them first",
+    relays_sent: "relays written or to be written to an engine",
+    relays_done: "ended well",
+    relays_full: "turned away: too many sessions",
+    relays_past: "over before they ran",
+    relays_error: "ended with an error, or with a page lost",
+    relays_timed_out: "no end in time",
+    relays_unreachable: "no connection: never ran",
+    relays_reset: "their connection ended first",
+    relays_cancelled: "given up by the decisions",
+    relays_unsent: "no descriptor left for a connection",
+    answers_late: "answers to what was over already, ignored",
+    notes: "notes on running relays",
+    pages: "further pages received",
+    engine_connections: "connections opened to engines",
+    engine_idle_closed: "closed by us as idle",
+    polls: "questions to the notice board",
+    polls_failed: "without a usable answer",
+    list_events: "list events applied",
+    turns: "turns of the loop",
+    late_turns: "turns that came over 5 ms after they were due",
+}
+
+impl Counters {
+    /// Every taken statement has one end or is still open.
+    pub fn open(&self) -> i64 {
+        let ended = self.completed + self.denied + self.scrapped + self.client_left;
+        self.statements_taken as i64 - ended as i64
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,12 @@
+//! The gateway: MySQL clients before engines with limited memory. Network code only; what becomes of a
+//! statement is asked of `dispatch`.
+
+pub mod board;
+pub mod clients;
+pub mod clock;
+pub mod config;
+pub mod counters;
+pub mod engines;
+pub mod lifecycle;
+pub mod service;
+pub mod socket;
--- /dev/null
+++ b/crates/gateway/src/lifecycle.rs
@@ -0,0 +1,184 @@
+//! The program from start to exit, as named states of one object.
+
+use std::io;
+use std::net::TcpListener;
+use std::os::fd::AsFd;
+
+use admission::interface::*;
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Interest, Mode, PostAction};
+use settings::SettingsError;
+use thiserror::Error;
+use tracing::{info, warn};
+
+use crate::board::Board;
+use crate::clients::Clients;
+use crate::clock::{Clock, duration};
+use crate::config::Config;
+use crate::engines::Engines;
+use crate::service::Service;
+use crate::socket::{Peer, Ready};
+
+/// Network facts of a planned restart. After SIGTERM new connections go on coming for 0.4 s and requests on
+/// open ones for 0.2 s more; the kill comes no sooner than 3.7 s after it.
+const STILL_COMING_S: f64 = 0.8;
+const ANSWERED_BY_S: f64 = 3.4;
+/// Clients hold a third of the descriptors at most; old sessions that linger after a restart and ours that
+/// read their last word come on top. Engines share what the board and the program itself leave.
+const CLIENT_SHARE: f64 = 0.5;
+const OWN_DESCRIPTORS: usize = 24;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    /// Bound and listed, nothing taken yet.
+    Ready,
+    Serving,
+    /// SIGTERM came: what still comes is taken, all is answered.
+    Draining {
+        until: Moment,
+    },
+    Exit,
+}
+
+#[derive(Debug, Error)]
+pub enum StartError {
+    #[error("listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, io::Error),
+    #[error("event loop: {0}")]
+    Loop(#[from] calloop::Error),
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+}
+
+pub struct Lifecycle {
+    phase: Phase,
+    event_loop: EventLoop<'static, Ready>,
+    listener: TcpListener,
+    /// The backlog may hold more than we had room for; no further edge tells of it.
+    backlog: bool,
+    clock: Clock,
+    service: Service,
+}
+
+impl Lifecycle {
+    /// From nothing to ready: the settings read, the list known, the address bound.
+    pub fn start(config: Config) -> Result<Self, StartError> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let event_loop: EventLoop<'static, Ready> = EventLoop::try_new()?;
+        let handle = event_loop.handle();
+        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])?;
+        let note = |event: calloop::signals::Event, _: &mut (), ready: &mut Ready| {
+            ready.signals.push(event.signal())
+        };
+        handle.insert_source(signals, note).map_err(|e| e.error)?;
+        let client_share = (config.sockets as f64 * CLIENT_SHARE) as usize;
+        let engine_share = config.sockets.saturating_sub(client_share + OWN_DESCRIPTORS).max(1);
+        let clients = Clients::new(&handle, client_share, now);
+        let engines = Engines::new(&handle, config.settings.links()?, engine_share);
+        let board = Board::new(&handle, config.board, config.known.last, now);
+        let mut service = Service::new(now, &config.settings, config.seed, clients, engines, board)?;
+        service.told(now, &config.known.events);
+        let unable = |error| StartError::Listen(config.listen, error);
+        let listener = TcpListener::bind(config.listen).map_err(unable)?;
+        listener.set_nonblocking(true).map_err(unable)?;
+        let descriptor = listener.as_fd().try_clone_to_owned().map_err(unable)?;
+        let source = Generic::new(descriptor, Interest::READ, Mode::Edge);
+        let note = |_, _: &mut _, ready: &mut Ready| {
+            ready.peers.push(Peer::Listener);
+            Ok(PostAction::Continue)
+        };
+        handle.insert_source(source, note).map_err(|e| e.error)?;
+        info!(name = config.name, listen = %config.listen, "ready");
+        Ok(Lifecycle { phase: Phase::Ready, event_loop, listener, backlog: true, clock, service })
+    }
+
+    pub fn run(mut self) -> Result<(), StartError> {
+        let mut ready = Ready::default();
+        while self.phase != Phase::Exit {
+            let due = self.due();
+            self.event_loop.dispatch(duration(due - self.clock.now()), &mut ready)?;
+            let now = self.clock.now();
+            let counters = &mut self.service.counters;
+            counters.turns += 1;
+            counters.late_turns += u64::from((now - due).secs() > 0.005);
+            std::mem::take(&mut ready.signals).into_iter().for_each(|signal| self.signal(now, signal));
+            for peer in std::mem::take(&mut ready.peers) {
+                self.ready(now, peer);
+            }
+            self.accept(now);
+            self.service.turn(now);
+            self.phase = self.next_phase(now);
+        }
+        self.print();
+        Ok(())
+    }
+
+    fn due(&self) -> Moment {
+        let due = self.service.next_due();
+        if let Phase::Draining { until } = self.phase { due.min(until) } else { due }
+    }
+
+    fn ready(&mut self, now: Moment, peer: Peer) {
+        let service = &mut self.service;
+        match peer {
+            Peer::Listener => self.backlog = true,
+            Peer::Client(id) => service.clients.ready(now, id, &mut service.counters),
+            Peer::Engine(at) => service.engines.ready(now, at, &mut service.counters),
+            Peer::Board(at) => service.board.ready(now, at, &mut service.counters),
+        }
+    }
+
+    fn accept(&mut self, now: Moment) {
+        while self.backlog && self.service.clients.room() {
+            match self.listener.accept() {
+                Ok((stream, _)) => {
+                    self.service.clients.accept(now, stream, &mut self.service.counters);
+                }
+                Err(error) => match error.kind() {
+                    io::ErrorKind::WouldBlock => self.backlog = false,
+                    io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted => {}
+                    _ => {
+                        // Out of descriptors: they wait in the backlog, and the next turn tries again.
+                        warn!(%error, "accept");
+                        return;
+                    }
+                },
+            }
+        }
+    }
+
+    fn signal(&mut self, now: Moment, signal: Signal) {
+        if signal == Signal::SIGUSR1 {
+            return self.print();
+        }
+        if !matches!(self.phase, Phase::Draining { .. }) {
+            info!("draining");
+            self.phase = Phase::Draining { until: now + Span::from_secs(STILL_COMING_S) };
+            self.service.answer_by(now + Span::from_secs(ANSWERED_BY_S));
+        }
+    }
+
+    fn next_phase(&self, now: Moment) -> Phase {
+        match self.phase {
+            Phase::Ready if self.service.counters.statements_taken > 0 => {
+                info!("serving");
+                Phase::Serving
+            }
+            Phase::Draining { until } if until <= now && !self.backlog && self.service.quiet() => Phase::Exit,
+            phase => phase,
+        }
+    }
+
+    fn print(&self) {
+        let service = &self.service;
+        info!(
+            open = service.counters.open(),
+            sessions = service.clients.len(),
+            engine_connections = service.engines.open(),
+            "counters: {}",
+            service.counters
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/service.rs
@@ -0,0 +1,284 @@
+//! What ties the peers together: client news to `pick`, engine reports to `report`, and a `tick` once all
+//! that is ready was read. It passes on; it decides nothing.
+
+use std::collections::BTreeMap;
+
+use admission::interface::*;
+use bytes::Bytes;
+use dispatch::{Dispatch, Order, Pick, Verdict, Wants};
+use settings::{Settings, SettingsError};
+use tracing::{debug, info};
+
+use crate::board::list::Names;
+use crate::board::{Board, Event};
+use crate::clients::packets::Answer;
+use crate::clients::{self, Clients, comment};
+use crate::counters::Counters;
+use crate::engines::lines::Rid;
+use crate::engines::{Engines, Outgoing, Report};
+
+/// Network fact: an answer must be with the client before its budget ends, and the budget runs from when the
+/// client sent; so much goes on the two ways and in the machines' queues.
+const WAYS_S: f64 = 0.008;
+
+/// What goes on of a statement, as it came; the text is dropped with the answer, the rest with the last relay.
+struct Passing {
+    session: u32,
+    rid: Rid,
+    product: usize,
+    text: Bytes,
+    answered: bool,
+    out: usize,
+}
+
+pub struct Service {
+    pub clients: Clients,
+    pub engines: Engines,
+    pub board: Board,
+    pub counters: Counters,
+    dispatch: Dispatch,
+    names: Names,
+    products: Vec<String>,
+    tenants: Vec<String>,
+    bills: bool,
+    most_open: usize,
+    next: u64,
+    passing: BTreeMap<StatementId, Passing>,
+    wake: Moment,
+    answer_by: Option<Moment>,
+}
+
+impl Service {
+    pub fn new(
+        now: Moment,
+        settings: &Settings,
+        seed: u64,
+        clients: Clients,
+        engines: Engines,
+        board: Board,
+    ) -> Result<Self, SettingsError> {
+        Ok(Service {
+            clients,
+            engines,
+            board,
+            counters: Counters::default(),
+            dispatch: Dispatch::new(settings.policy(seed)?),
+            names: Names::new(settings.location_names(), settings.machine_names()),
+            products: settings.product_names()?,
+            tenants: settings.tenant_names()?,
+            bills: settings.bills()?,
+            most_open: settings.most_open()?,
+            next: 0,
+            passing: BTreeMap::new(),
+            wake: now,
+            answer_by: None,
+        })
+    }
+
+    pub fn told(&mut self, now: Moment, events: &[Event]) {
+        for change in events.iter().filter_map(|event| event.list.as_ref()) {
+            let told = self.names.told(change);
+            info!(whole = change.whole, engines = change.targets.len(), "list");
+            told.addresses.into_iter().for_each(|(id, address)| self.engines.listed(id, address));
+            self.dispatch.told_list(now, &told.news);
+        }
+    }
+
+    /// The gateway ends: all that is in hand, and all that still comes, is answered by then.
+    pub fn answer_by(&mut self, by: Moment) {
+        self.answer_by = Some(by);
+        self.dispatch.answer_by(by);
+        self.engines.end_by(by);
+    }
+
+    /// Nothing is owed to anyone.
+    pub fn quiet(&self) -> bool {
+        self.clients.all_quiet()
+    }
+
+    pub fn next_due(&self) -> Moment {
+        let dues = [self.engines.next_due(), self.clients.next_due(), self.board.next_due()];
+        dues.into_iter().flatten().fold(self.wake, Moment::min)
+    }
+
+    /// Works off what all peers brought, then asks once for all that waits.
+    pub fn turn(&mut self, now: Moment) {
+        self.engines.expire(now, &mut self.counters);
+        self.clients.expire(now, &mut self.counters);
+        self.board.expire(now, &mut self.counters);
+        let events = self.board.events();
+        self.told(now, &events);
+        self.reports(now);
+        loop {
+            let news = self.clients.news();
+            if news.is_empty() {
+                break;
+            }
+            news.into_iter().for_each(|news| self.heard(now, news));
+        }
+        let tick = self.dispatch.tick(now);
+        tick.due.into_iter().for_each(|(id, pick)| self.picked(now, id, pick));
+        // What could not even be sent is back in line by now.
+        let again = self.reports(now);
+        self.wake = now + if again { Span::ZERO } else { tick.wait };
+    }
+
+    fn reports(&mut self, now: Moment) -> bool {
+        let mut any = false;
+        loop {
+            let reports = self.engines.reports();
+            if reports.is_empty() {
+                return any;
+            }
+            any = true;
+            reports.into_iter().for_each(|report| self.report(now, report));
+        }
+    }
+
+    fn report(&mut self, now: Moment, report: Report) {
+        let id = report.statement;
+        let Some(passing) = self.passing.get_mut(&id) else { return };
+        let mut news = report.news;
+        if let News::Completed { cpu, memory_mb } = &mut news
+            && !self.bills
+        {
+            (*cpu, *memory_mb) = (None, None);
+        }
+        let still_out = matches!(news, News::Progress(_) | News::Strained | News::Streaming);
+        passing.out -= usize::from(!still_out);
+        let completed = matches!(news, News::Completed { .. });
+        if completed && !passing.answered {
+            let pages = report.pages;
+            self.counters.completed += 1;
+            self.answer(now, id, |answer| answer.result(pages.iter().map(|page| &page[..])));
+        }
+        match self.dispatch.report(now, id, report.relay, news, report.latency, completed) {
+            Verdict::Nothing => {}
+            Verdict::Cancel(relay) => self.engines.cancel(now, id, relay, &mut self.counters),
+            Verdict::Deny { come_back } => self.deny(now, id, come_back),
+            Verdict::Scrap => self.scrap(now, id),
+        }
+        self.forget(id);
+    }
+
+    fn heard(&mut self, now: Moment, news: clients::News) {
+        match news {
+            clients::News::Asked { session, text } => self.asked(now, session, &text),
+            clients::News::Left(id) => self.left(id),
+            clients::News::Kill { by, session, whole } => {
+                let killed = self.clients.kill(now, session, whole, &mut self.counters);
+                killed.flatten().into_iter().for_each(|id| self.left(id));
+                self.clients.answer(now, by, &mut self.counters, |answer| match killed {
+                    Some(_) => answer.ok(),
+                    None => answer.error(1094, b"HY000", "Unknown thread id"),
+                });
+            }
+        }
+    }
+
+    fn left(&mut self, id: StatementId) {
+        let Some(passing) = self.passing.get_mut(&id).filter(|passing| !passing.answered) else { return };
+        (passing.answered, passing.text) = (true, Bytes::new());
+        self.counters.client_left += 1;
+        self.dispatch.gone(id);
+        self.forget(id);
+    }
+
+    fn asked(&mut self, now: Moment, session: u32, text: &Bytes) {
+        let (wants, rid, statement) = match self.wants(text) {
+            Ok(usable) => usable,
+            Err(why) => {
+                self.counters.statements_unusable += 1;
+                debug!(session, why, "statement cannot be used");
+                self.clients.answer(now, session, &mut self.counters, |a| a.error(1064, b"42000", &why));
+                return;
+            }
+        };
+        let id = StatementId(self.next);
+        self.next += 1;
+        self.counters.statements_taken += 1;
+        let product = wants.product.0;
+        let passing = Passing { session, rid, product, text: statement, answered: false, out: 0 };
+        self.passing.insert(id, passing);
+        self.clients.took(session, id);
+        let pick = self.dispatch.pick(now, id, &wants);
+        self.picked(now, id, pick);
+    }
+
+    /// Takes out what the decisions need, and checks it: nothing unusable may reach an engine.
+    fn wants(&self, text: &Bytes) -> Result<(Wants, Rid, Bytes), String> {
+        let read = comment::read(text).map_err(|error| error.to_string())?;
+        let named = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let product = named(&self.products, read.product).ok_or("unknown method")?;
+        let tenant = match read.tenant {
+            Some(name) if !self.tenants.is_empty() => named(&self.tenants, name).ok_or("unknown acct")?,
+            _ => 0,
+        };
+        if self.passing.len() >= self.most_open {
+            return Err("too many statements open".into());
+        }
+        let budget = Span::from_secs(read.budget_ms / 1e3 - WAYS_S);
+        let wants = Wants {
+            product: ProductId(product),
+            tenant: TenantId(tenant),
+            group: GroupId(comment::table_group(read.statement).unwrap_or(0)),
+            estimate: read.estimate_ms.filter(|ms| *ms > 0.0).map(|ms| Span::from_secs(ms / 1e3)),
+            memory_mb: read.memory_mb.unwrap_or(0.0),
+            key: None,
+            budget,
+        };
+        Ok((wants, read.rid, text.slice_ref(read.statement)))
+    }
+
+    fn picked(&mut self, now: Moment, id: StatementId, pick: Pick) {
+        match pick {
+            Pick::Held => {}
+            Pick::Relay(order) => self.relay(now, id, order),
+            Pick::Deny { come_back } => self.deny(now, id, come_back),
+            Pick::Scrap => self.scrap(now, id),
+        }
+        self.forget(id);
+    }
+
+    fn relay(&mut self, now: Moment, id: StatementId, order: Order) {
+        let Some(passing) = self.passing.get_mut(&id) else { return };
+        passing.out += 1;
+        let outgoing = Outgoing {
+            statement: id,
+            relay: order.relay,
+            engine: order.engine,
+            rid: passing.rid,
+            product: &self.products[passing.product],
+            text: &passing.text,
+            due: self.answer_by.map_or(order.due, |by| by.min(order.due)),
+            rank: order.rank,
+        };
+        self.engines.send(now, &outgoing, &mut self.counters);
+    }
+
+    fn deny(&mut self, now: Moment, id: StatementId, come_back: Option<Span>) {
+        self.counters.denied += 1;
+        let text = come_back.map_or("denied".to_owned(), |wait| {
+            format!("denied; backoff={}", (wait.secs() * 1e3).round() as u64)
+        });
+        self.answer(now, id, |answer| answer.error(1226, b"42000", &text));
+    }
+
+    fn scrap(&mut self, now: Moment, id: StatementId) {
+        self.counters.scrapped += 1;
+        self.answer(now, id, |answer| answer.error(1105, b"HY000", "the statement could not be completed"));
+    }
+
+    fn answer(&mut self, now: Moment, id: StatementId, answer: impl FnOnce(Answer) -> Vec<u8>) {
+        let Some(passing) = self.passing.get_mut(&id) else { return };
+        (passing.answered, passing.text) = (true, Bytes::new());
+        let session = passing.session;
+        self.clients.answer(now, session, &mut self.counters, answer);
+    }
+
+    fn forget(&mut self, id: StatementId) {
+        if self.passing.get(&id).is_some_and(|passing| passing.answered && passing.out == 0) {
+            self.passing.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/socket.rs
@@ -0,0 +1,165 @@
+//! One non-blocking socket with its buffers. Registered once, edge-triggered, for both directions: whoever
+//! is told of it reads until nothing is left, and writes whenever something is to be written.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::OwnedFd;
+use std::rc::Rc;
+
+use bytes::{Buf, BytesMut};
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use rustix::net::{AddressFamily, SocketFlags, SocketType, connect, ipproto, socket_with, sockopt};
+
+/// Whom a readiness is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Peer {
+    Listener,
+    Client(u32),
+    Engine(u64),
+    Board(u64),
+}
+
+/// What one sleep of the loop brought: sources only note it, it is worked off in turn afterwards.
+#[derive(Default)]
+pub struct Ready {
+    pub peers: Vec<Peer>,
+    pub signals: Vec<calloop::signals::Signal>,
+}
+
+pub type Loop = LoopHandle<'static, Ready>;
+
+/// Read at most so much at a time; what a peer may leave unread in `inbox` is each user's bound.
+const CHUNK: usize = 16 << 10;
+
+pub struct Socket {
+    stream: Rc<TcpStream>,
+    token: Option<RegistrationToken>,
+    handle: Loop,
+    pub inbox: BytesMut,
+    out: BytesMut,
+    /// Bytes accepted by the machine so far, of all ever put.
+    pub written: u64,
+    pub put: u64,
+    /// The peer has ended its direction.
+    pub ended: bool,
+    /// The machine may still hold bytes that no edge will announce again.
+    unread: bool,
+}
+
+impl Socket {
+    pub fn new(stream: TcpStream, handle: &Loop, peer: Peer) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
+        // Answers and relays are small and whole: waiting to fill a segment only delays them.
+        stream.set_nodelay(true)?;
+        let stream = Rc::new(stream);
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let token = handle
+            .insert_source(source, move |_, _, ready: &mut Ready| {
+                ready.peers.push(peer);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| io::Error::other(e.error))?;
+        Ok(Socket {
+            stream,
+            token: Some(token),
+            handle: handle.clone(),
+            inbox: BytesMut::new(),
+            out: BytesMut::new(),
+            written: 0,
+            put: 0,
+            ended: false,
+            unread: true,
+        })
+    }
+
+    /// Starts to connect; `connected` tells how it went.
+    pub fn connect(to: SocketAddr, handle: &Loop, peer: Peer) -> io::Result<Self> {
+        let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let fd: OwnedFd = socket_with(family, SocketType::STREAM, flags, Some(ipproto::TCP))?;
+        match connect(&fd, &to) {
+            Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Self::new(TcpStream::from(fd), handle, peer),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Whether the connection is up; an error if it failed.
+    pub fn connected(&self) -> io::Result<bool> {
+        sockopt::socket_error(&*self.stream)??;
+        match self.stream.peer_addr() {
+            Ok(_) => Ok(true),
+            Err(error) if error.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Reads what is there, up to `bound` in the inbox. Told by an edge, or asked again once there is room.
+    pub fn fill(&mut self, bound: usize) -> io::Result<()> {
+        self.unread = true;
+        self.refill(bound)
+    }
+
+    pub fn refill(&mut self, bound: usize) -> io::Result<()> {
+        while self.unread && !self.ended && self.inbox.len() < bound {
+            let have = self.inbox.len();
+            self.inbox.resize(have + CHUNK, 0);
+            let read = (&*self.stream).read(&mut self.inbox[have..]);
+            self.inbox.truncate(have + read.as_ref().copied().unwrap_or(0));
+            match read {
+                Ok(0) => self.ended = true,
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.unread = false,
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// More may be there than there was room for.
+    pub fn more(&self) -> bool {
+        self.unread && !self.ended
+    }
+
+    pub fn put(&mut self, bytes: &[u8]) {
+        self.put += bytes.len() as u64;
+        self.out.extend_from_slice(bytes);
+    }
+
+    /// Writes what the machine takes; the rest follows when an edge tells of room.
+    pub fn flush(&mut self) -> io::Result<()> {
+        while !self.out.is_empty() {
+            match (&*self.stream).write(&self.out) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => {
+                    self.written += n as u64;
+                    self.out.advance(n);
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+        // An idle peer keeps no memory of its largest answer.
+        if self.out.capacity() > CHUNK {
+            self.out = BytesMut::new();
+        }
+        Ok(())
+    }
+
+    pub fn unwritten(&self) -> usize {
+        self.out.len()
+    }
+
+    /// No more is written: the peer reads to the end and then finds it.
+    pub fn finish(&self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.token.take().into_iter().for_each(|token| self.handle.remove(token));
+    }
+}
--- a/crates/wirehost/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,10 +1,12 @@
-//! Reads the settings text of an `Attach` into what each part of the module takes.
+//! Reads an instance's settings into what each part takes. Both forms become the same paths and values: the
+//! wire's path=value lines, and the nested JSON of the gateway's configuration.
 
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
 use admission::interface::*;
 use admission::policy::Policy;
+use serde_json::Value;
 use thiserror::Error;
 
 #[derive(Debug, Error)]
@@ -15,17 +17,33 @@
     Unreadable { key: String, value: String },
 }
 
-/// The path=value pairs of one instance.
-pub struct Settings<'a>(BTreeMap<&'a str, &'a str>);
+/// The paths and values of one instance.
+pub struct Settings(BTreeMap<String, String>);
 
-impl<'a> Settings<'a> {
-    pub fn parse(text: &'a str) -> Self {
-        Settings(text.lines().filter_map(|line| line.trim().split_once('=')).collect())
+/// How relays reach engines.
+#[derive(Clone, Copy, Debug)]
+pub struct Links {
+    pub connect_timeout: Span,
+    pub idle: Span,
+    /// Relays that one connection carries at the same time.
+    pub multiplex: usize,
+}
+
+impl Settings {
+    pub fn from_lines(text: &str) -> Self {
+        let pairs = text.lines().filter_map(|line| line.trim().split_once('='));
+        Settings(pairs.map(|(path, value)| (path.to_owned(), value.to_owned())).collect())
+    }
+
+    pub fn from_json(settings: &Value) -> Self {
+        let mut pairs = BTreeMap::new();
+        flatten(settings, String::new(), &mut pairs);
+        Settings(pairs)
     }
 
     fn may<T: FromStr>(&self, key: &str) -> Result<Option<T>, SettingsError> {
         let Some(value) = self.0.get(key).filter(|v| !v.is_empty()) else { return Ok(None) };
-        let unreadable = |_| SettingsError::Unreadable { key: key.into(), value: (*value).into() };
+        let unreadable = |_| SettingsError::Unreadable { key: key.into(), value: value.clone() };
         value.parse().map(Some).map_err(unreadable)
     }
 
@@ -51,7 +69,7 @@
     }
 
     fn words(&self, key: &str) -> Vec<&str> {
-        let value = self.0.get(key).copied().unwrap_or("");
+        let value = self.0.get(key).map_or("", String::as_str);
         value.split(',').map(str::trim).filter(|w| !w.is_empty()).collect()
     }
 
@@ -172,4 +190,61 @@
     pub fn products(&self) -> usize {
         self.may("Grades.count").ok().flatten().unwrap_or(0)
     }
+
+    fn names(&self, list: &str) -> Result<Vec<String>, SettingsError> {
+        let count: usize = self.may(&format!("{list}.count"))?.unwrap_or(0);
+        (0..count).map(|at| self.need(&format!("{list}.{at}.Name"))).collect()
+    }
+
+    pub fn product_names(&self) -> Result<Vec<String>, SettingsError> {
+        self.names("Grades")
+    }
+
+    /// Empty where there are no tenants.
+    pub fn tenant_names(&self) -> Result<Vec<String>, SettingsError> {
+        self.names("Tenants")
+    }
+
+    pub fn location_names(&self) -> Vec<String> {
+        self.words("Zones").into_iter().map(String::from).collect()
+    }
+
+    pub fn machine_names(&self) -> Vec<String> {
+        self.words("MachineTypes").into_iter().map(String::from).collect()
+    }
+
+    pub fn links(&self) -> Result<Links, SettingsError> {
+        Ok(Links {
+            connect_timeout: self.need_span("Limits.ConnectTimeoutS")?,
+            idle: self.need_span("Limits.ConnIdleS")?,
+            multiplex: self.may("Limits.Multiplex")?.unwrap_or(1).max(1),
+        })
+    }
+
+    /// Statements in hand at the same time.
+    pub fn most_open(&self) -> Result<usize, SettingsError> {
+        Ok(self.may("Limits.MaxOpen")?.unwrap_or(usize::MAX))
+    }
+}
+
+fn flatten(value: &Value, path: String, pairs: &mut BTreeMap<String, String>) {
+    let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(of) => of.iter().for_each(|(name, value)| flatten(value, below(name), pairs)),
+        Value::Array(of) if of.iter().any(Value::is_object) => {
+            pairs.insert(below("count"), of.len().to_string());
+            of.iter().enumerate().for_each(|(at, value)| flatten(value, below(&at.to_string()), pairs));
+        }
+        Value::Array(of) => {
+            // As on the wire, where commas join a list.
+            let plain = |value: &Value| plain(value).replace([' ', ','], "_");
+            pairs.insert(path, of.iter().map(plain).collect::<Vec<_>>().join(","));
+        }
+        Value::Null => {}
+        value => drop(pairs.insert(path, plain(value))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), String::from)
 }
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,28 +1,19 @@
-//! Keeps each instance's statements and timers, decodes events into the module's calls and encodes its
-//! answers.
+//! Decodes each instance's events into calls of its `Dispatch`, and encodes what comes back.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use admission::interface::*;
-use admission::policy::Policy;
+use dispatch::{Dispatch, Pick, Verdict, Wants};
+use settings::{Settings, SettingsError};
 
 use crate::frames::{Batch, Fields, FrameError, Reply};
-use crate::settings::{Settings, SettingsError};
-
-struct InHand {
-    statement: Statement,
-    over: bool,
-    rank: Option<u8>,
-}
 
 /// One instance: it shares nothing with the others of the process.
 struct Gateway {
-    policy: Policy,
+    dispatch: Dispatch,
     products: usize,
     bills: bool,
     fields: Vec<String>,
-    hand: BTreeMap<StatementId, InHand>,
-    line: BTreeSet<Place>,
     alarm: Option<Moment>,
     tag: u64,
 }
@@ -114,14 +105,12 @@
 
 impl Gateway {
     fn new(text: &str, seed: u64) -> Result<Self, SettingsError> {
-        let settings = Settings::parse(text);
+        let settings = Settings::from_lines(text);
         Ok(Gateway {
-            policy: settings.policy(seed)?,
+            dispatch: Dispatch::new(settings.policy(seed)?),
             products: settings.products(),
             bills: settings.bills()?,
             fields: settings.report_fields(),
-            hand: BTreeMap::new(),
-            line: BTreeSet::new(),
             alarm: None,
             tag: 0,
         })
@@ -137,6 +126,15 @@
         actions: &mut Vec<Action>,
     ) -> Result<(), FrameError> {
         let id = StatementId(fields.u64(3));
+        let mut report = |this: &mut Self, at: usize, news: News, latency_s: f64, settled: bool| {
+            let (relay, latency) = (RelayNo(fields.u16(at)), Span::from_secs(latency_s));
+            match this.dispatch.report(now, id, relay, news, latency, settled) {
+                Verdict::Nothing => {}
+                Verdict::Cancel(relay) => actions.push(Action::Stop(id, relay)),
+                Verdict::Deny { come_back } => actions.push(Action::PushBack(id, come_back)),
+                Verdict::Scrap => actions.push(Action::Surrender(id)),
+            }
+        };
         match fields.u8(0) {
             20 => {
                 let sheet = fields.u8(3);
@@ -148,19 +146,19 @@
                     3 => ListNews::Failed,
                     form => return Err(batch.unknown(record, "list form", form.into())),
                 };
-                self.policy.told_list(now, &news);
+                self.dispatch.told_list(now, &news);
             }
             30 => {
                 let product = usize::from(fields.u8(46));
                 if product >= self.products {
                     return Err(batch.unknown(record, "product", product as u64));
                 }
-                self.taken(now, id, fields);
+                self.taken(now, id, fields, actions);
             }
-            40 => self.outcome(now, id, fields.u16(23), News::Streaming, fields.f64(11), false, actions),
+            40 => report(self, 23, News::Streaming, fields.f64(11), false),
             110 => {
                 let news = if fields.u8(21) == 1 { News::Progress(fields.f32(13)) } else { News::Strained };
-                self.outcome(now, id, fields.u16(11), news, 0.0, false, actions);
+                report(self, 11, news, 0.0, false);
             }
             50 => {
                 let (cpu, steps) = (fields.u32(27) >> 12, fields.u32(27) & 0xfff);
@@ -178,16 +176,9 @@
                     code => return Err(batch.unknown(record, "outcome", code.into())),
                 };
                 self.load(EngineId(fields.u32(13)), fields, 31);
-                self.outcome(now, id, fields.u16(11), news, fields.f64(18), fields.u8(26) != 0, actions);
-            }
-            60 => {
-                if let Some(in_hand) = self.hand.get_mut(&id) {
-                    in_hand.over = true;
-                    self.policy.told_over(&in_hand.statement);
-                    in_hand.statement.place.map(|place| self.line.remove(&place));
-                    self.forget(id);
-                }
+                report(self, 11, news, fields.f64(18), fields.u8(26) != 0);
             }
+            60 => self.dispatch.gone(id),
             70 if fields.u64(3) == self.tag => self.alarm = None,
             80 => self.load(EngineId(fields.u32(3)), fields, 16),
             _ => {}
@@ -195,121 +186,32 @@
         Ok(())
     }
 
-    fn taken(&mut self, now: Moment, id: StatementId, fields: Fields<'_>) {
-        if self.hand.contains_key(&id) {
-            return;
-        }
+    fn taken(&mut self, now: Moment, id: StatementId, fields: Fields<'_>, actions: &mut Vec<Action>) {
         let told = fields.u8(11) & 1 != 0;
-        let statement = Statement {
-            id,
+        let wants = Wants {
             product: ProductId(fields.u8(46).into()),
             tenant: TenantId(fields.u16(36).into()),
             group: GroupId(fields.f32(24) as u32),
             estimate: Some(Span::from_secs(fields.f64(38))).filter(|cpu| told && *cpu > Span::ZERO),
             memory_mb: Some(fields.f32(12)).filter(|mb| mb.is_finite()).unwrap_or(0.0),
             key: Some(OrderKey(fields.u64(28))).filter(|key| key.0 != 0),
-            taken: now,
-            hard_limit: now + Span::from_secs(fields.f64(16)),
-            held_since: now,
-            place: None,
-            relays: Vec::new(),
+            budget: Span::from_secs(fields.f64(16)),
         };
-        self.hand.insert(id, InHand { statement, over: false, rank: None });
-        // The first ask only gives the place in line; the line is asked once the batch is read.
-        let mut actions = Vec::new();
-        self.ask(now, id, &mut actions);
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    fn outcome(
-        &mut self,
-        now: Moment,
-        id: StatementId,
-        number: u16,
-        news: News,
-        latency_s: f64,
-        settled: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(in_hand) = self.hand.get_mut(&id) else { return };
-        let Some(relay) = in_hand.statement.relays.get_mut(usize::from(number)) else { return };
-        if relay.state != RelayState::Out {
-            return;
-        }
-        match news {
-            News::Progress(_) | News::Strained | News::Streaming => {}
-            News::TurnedAway | News::Unreachable | News::NeverSent => relay.state = RelayState::NeverRan,
-            _ => relay.state = RelayState::MayHaveRun,
-        }
-        let settled = settled || in_hand.over;
-        let outcome = Outcome { relay: RelayNo(number), news, latency: Span::from_secs(latency_s), settled };
-        match self.policy.after(now, &in_hand.statement, &outcome) {
-            After::Stay => {}
-            After::Cancel(relay) => actions.push(Action::Stop(id, relay)),
-            After::Ask => {
-                in_hand.statement.held_since = now;
-                in_hand.statement.place.map(|place| self.line.insert(place));
-            }
-            After::Over => in_hand.over = true,
-            After::Deny { come_back } => {
-                in_hand.over = true;
-                actions.push(Action::PushBack(id, come_back));
-            }
-            After::Scrap => {
-                in_hand.over = true;
-                actions.push(Action::Surrender(id));
-            }
-        }
-        self.forget(id);
-    }
-
-    /// A statement leaves once it is over and its last relay has an outcome.
-    fn forget(&mut self, id: StatementId) {
-        let done = |h: &InHand| h.over && h.statement.relays.iter().all(|r| r.state != RelayState::Out);
-        if self.hand.get(&id).is_some_and(done) {
-            self.hand.remove(&id);
-        }
+        let pick = self.dispatch.pick(now, id, &wants);
+        picked(id, &pick, actions);
     }
 
     fn ask_line(&mut self, now: Moment, actions: &mut Vec<Action>) {
-        for place in self.line.iter().copied().collect::<Vec<_>>() {
-            self.ask(now, place.id, actions);
-        }
-        let pause = self.policy.pause(now, self.line.len());
-        actions.extend(pause.probe.iter().map(|engine| Action::Test(*engine)));
-        actions.extend(pause.list.map(Action::List));
-        let due = now + pause.wait;
+        let tick = self.dispatch.tick(now);
+        tick.due.iter().for_each(|(id, pick)| picked(*id, pick, actions));
+        actions.extend(tick.probe.iter().map(|engine| Action::Test(*engine)));
+        actions.extend(tick.list.map(Action::List));
+        let due = now + tick.wait;
         if self.alarm.is_none_or(|alarm| due < alarm) {
             self.alarm = Some(due);
             self.tag += 1;
-            actions.push(Action::Remind(pause.wait, self.tag));
-        }
-    }
-
-    fn ask(&mut self, now: Moment, id: StatementId, actions: &mut Vec<Action>) {
-        let Some(in_hand) = self.hand.get_mut(&id) else { return };
-        let answer = self.policy.place(now, &in_hand.statement);
-        if let Answer::NotYet(place) = answer {
-            in_hand.statement.place = Some(place);
-            self.line.insert(place);
-            return;
-        }
-        in_hand.statement.place.map(|place| self.line.remove(&place));
-        match answer {
-            Answer::Send { relay, limit, rank } => {
-                if let Some(rank) = rank.filter(|rank| in_hand.rank != Some(*rank)) {
-                    in_hand.rank = Some(rank);
-                    actions.push(Action::Tune(id, rank));
-                }
-                in_hand.statement.relays.push(relay);
-                actions.push(Action::Attempt(id, relay.engine, limit));
-                return;
-            }
-            Answer::Deny { come_back } => actions.push(Action::PushBack(id, come_back)),
-            Answer::Scrap | Answer::NotYet(_) => actions.push(Action::Surrender(id)),
+            actions.push(Action::Remind(tick.wait, self.tag));
         }
-        in_hand.over = true;
-        self.forget(id);
     }
 
     fn load(&mut self, engine: EngineId, fields: Fields<'_>, at: usize) {
@@ -326,8 +228,21 @@
             }
         }
         if told > 0 {
-            self.policy.told_load(engine, &report);
+            self.dispatch.told_load(engine, &report);
+        }
+    }
+}
+
+fn picked(id: StatementId, pick: &Pick, actions: &mut Vec<Action>) {
+    match *pick {
+        Pick::Relay(order) => {
+            let rank = order.rank.filter(|_| order.rank_changed);
+            actions.extend(rank.map(|rank| Action::Tune(id, rank)));
+            actions.push(Action::Attempt(id, order.engine, order.limit));
         }
+        Pick::Held => {}
+        Pick::Deny { come_back } => actions.push(Action::PushBack(id, come_back)),
+        Pick::Scrap => actions.push(Action::Surrender(id)),
     }
 }
 
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -1,5 +1,4 @@
-//! Puts the admission decisions before the simulator's wire: frames, settings, statements in hand and timers.
+//! Puts the admission decisions before the simulator's wire: frames to calls, answers to frames.
 
 pub mod frames;
 pub mod host;
-pub mod settings;
