--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -306,6 +306,65 @@
     assert_eq!(first.lines().len(), before);
 }
 
+#[test]
+fn an_engine_listed_elsewhere_gets_its_relays_there() {
+    let (first, second) = (engine(1), engine(1));
+    let gateway = Gateway::before(&[first.address]);
+    let mut client = gateway.client();
+    rows(client.ask(&commented(2000, "SELECT 1")).unwrap());
+    gateway.board.tell(false, vec![target("e-0", second.address, "in_service")]);
+    sleep(millis(250));
+    rows(client.ask(&commented(2000, "SELECT 1")).unwrap());
+    assert_eq!((first.lines().len(), second.lines().len()), (1, 1));
+}
+
+#[test]
+fn idle_connections_end_from_either_side() {
+    let engine = engine(1);
+    let gateway = Gateway::with(&[engine.address], |c| c["settings"]["Limits"]["ConnIdleS"] = json!(0.5));
+    let mut client = gateway.client();
+    rows(client.ask(&commented(2000, "SELECT 1")).unwrap());
+    engine.hang_up();
+    sleep(millis(50));
+    rows(client.ask(&commented(2000, "SELECT 2")).unwrap());
+    sleep(millis(600));
+    rows(client.ask(&commented(2000, "SELECT 3")).unwrap());
+    assert_eq!(engine.connections(), 3);
+    gateway.signal(Signal::TERM);
+    let (_, log) = gateway.end(millis(5000));
+    assert!(counter(&log, "engine_idle_closed") >= 1, "{log}");
+    assert_eq!(counter(&log, "relays_sent"), 3, "{log}");
+}
+
+#[test]
+fn queries_behind_one_another_are_answered_in_turn() {
+    let engine = engine(5);
+    let gateway = Gateway::before(&[engine.address]);
+    let mut client = gateway.client();
+    let both: Vec<u8> =
+        (1..=3).flat_map(|n| query_packet(&commented(5000, &format!("SELECT {n}")))).collect();
+    client.stream.write_all(&both).unwrap();
+    for n in 1..=3 {
+        assert_eq!(rows(client.answer().unwrap())[0][1], format!("SELECT {n}"));
+    }
+}
+
+#[test]
+fn a_board_that_answers_seconds_late_is_still_heard() {
+    let (first, second) = (engine(1), engine(1));
+    let gateway = Gateway::before(&[first.address, second.address]);
+    let mut client = gateway.client();
+    gateway.board.set(board::Mood::Late);
+    sleep(millis(1200));
+    gateway.board.tell(false, vec![target("e-0", first.address, "terminating")]);
+    sleep(millis(5800));
+    let before = first.lines().len();
+    for _ in 0..10 {
+        rows(client.ask(&commented(2000, "SELECT 1")).unwrap());
+    }
+    assert_eq!(first.lines().len(), before);
+}
+
 #[test]
 fn a_bad_notice_board_is_asked_again_and_again() {
     let (first, second) = (engine(1), engine(1));
@@ -346,6 +405,20 @@
     add_up(&log);
 }
 
+#[test]
+fn an_idle_gateway_stays_for_what_still_comes_after_sigterm() {
+    let engine = engine(1);
+    let gateway = Gateway::before(&[engine.address]);
+    gateway.signal(Signal::TERM);
+    sleep(millis(400));
+    let mut late = gateway.client();
+    sleep(millis(150));
+    assert_eq!(rows(late.ask(&commented(2000, "SELECT 1")).unwrap()).len(), 1);
+    let (status, log) = gateway.end(millis(2000));
+    assert!(status.success());
+    assert_eq!(counter(&log, "completed"), 1);
+}
+
 #[test]
 fn sigterm_ends_even_what_never_ends() {
     let engine = engine(1);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,6 +18,7 @@
 }
 
 /// The paths and values of one instance.
+#[derive(Debug, PartialEq)]
 pub struct Settings(BTreeMap<String, String>);
 
 /// How relays reach engines.
--- a/examples/toy/src/board.rs
+++ b/examples/toy/src/board.rs
@@ -14,6 +14,8 @@
     /// Takes questions and never answers.
     Silent,
     Nonsense,
+    /// Answers three seconds after it should.
+    Late,
     /// Closes on every question.
     Closing,
 }
@@ -88,8 +90,9 @@
             };
             let watch = parameter("watch=").unwrap_or(0) as usize;
             let until = Instant::now() + Duration::from_millis(parameter("linger=").unwrap_or(0).min(5000));
-            match *self.mood.lock().unwrap() {
-                Mood::Well => {}
+            let mood = *self.mood.lock().unwrap();
+            match mood {
+                Mood::Well | Mood::Late => {}
                 Mood::Silent => continue,
                 Mood::Closing => return Ok(()),
                 Mood::Nonsense => {
@@ -100,6 +103,9 @@
             while self.events.lock().unwrap().len() <= watch && Instant::now() < until {
                 thread::sleep(Duration::from_millis(5));
             }
+            if mood == Mood::Late {
+                thread::sleep(Duration::from_secs(3));
+            }
             let events = self.events.lock().unwrap();
             let notices = events.get(watch..).unwrap_or(&[]);
             let body = json!({"rev": events.len(), "notices": notices}).to_string();
