--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -167,7 +167,7 @@
             (*cpu, *memory_mb) = (None, None);
         }
         let still_out = matches!(news, News::Progress(_) | News::Strained | News::Streaming);
-        passing.out -= usize::from(!still_out);
+        passing.out = passing.out.saturating_sub(usize::from(!still_out));
         let completed = matches!(news, News::Completed { .. });
         if completed && !passing.answered {
             let pages = report.pages;
