Pages nobody waits for are forgotten; a result past its bound ends early; time at work counted

- engines: a relay whose client left no longer fetches its pages (forget), its outcome still counts.
- a result is bounded as it comes (64 KB), not only once whole: 64 pages of 64 KB for each relay would not fit 192 MB.
- counters: busy_ms; the open connections no longer share names with the counted ones.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -48,6 +48,7 @@
     list_events: "list events applied",
     turns: "turns of the loop",
     late_turns: "turns that came over 5 ms after they were due",
+    busy_ms: "time at work, not asleep; with the statements taken, the time of each",
 }
 
 impl Counters {
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -15,9 +15,10 @@
 use crate::socket::{Loop, Peer, Socket};
 use lines::{Answer, Rid, Word};
 
-/// A result is 48,000 bytes at most, in pages of 6,000: what is past this is no result.
+/// Network fact: a result holds 48,000 bytes at most, and what stands between its values. What is past this,
+/// or in more pages, is no result, and must not fill our memory.
 const PAGES: usize = 64;
-const RESULT: usize = 48_000;
+const RESULT: usize = 64 << 10;
 /// We close an idle connection after this part of the time in the settings: our close must be on the engine's
 /// side before its own, with a slow loop and a slow way between.
 const IDLE_PART: f64 = 0.8;
@@ -61,6 +62,8 @@
     /// Of all bytes put on the connection, the first after this relay's.
     ends_at: u64,
     coming: Option<Coming>,
+    /// Its client is gone: the work still counts, the pages do not.
+    unwanted: bool,
 }
 
 struct Connection {
@@ -140,6 +143,7 @@
             due: o.due,
             ends_at: connection.socket.put,
             coming: None,
+            unwanted: false,
         };
         connection.relays.insert(o.rid, relay);
         self.places.insert((o.statement, o.relay), (at, o.rid));
@@ -211,6 +215,14 @@
         self.give_up(now, id, no, News::Cancelled, counters);
     }
 
+    /// No client waits for it any more: what is still to come of its result is not asked for.
+    pub fn unwanted(&mut self, now: Moment, id: StatementId, no: RelayNo, counters: &mut Counters) {
+        let Some((at, rid)) = self.places.get(&(id, no)).copied() else { return };
+        let relay = self.connections.get_mut(&at).and_then(|connection| connection.relays.get_mut(&rid));
+        relay.into_iter().for_each(|relay| relay.unwanted = true);
+        self.complete(now, at, &rid, counters);
+    }
+
     /// The gateway ends: what is out is to have ended by then.
     pub fn end_by(&mut self, by: Moment) {
         for connection in self.connections.values_mut() {
@@ -401,8 +413,10 @@
                 };
                 coming.pages[0] = Some(answer.body);
                 relay.coming = Some(coming);
-                (1..total).for_each(|number| connection.socket.put(&lines::page(&rid, number)));
-                self.flush(now, at, counters);
+                if !relay.unwanted {
+                    (1..total).for_each(|number| connection.socket.put(&lines::page(&rid, number)));
+                    self.flush(now, at, counters);
+                }
                 return self.complete(now, at, &rid, counters);
             }
             Word::More => {
@@ -422,19 +436,29 @@
         self.over(now, at, &rid, end.0, latency, Vec::new());
     }
 
-    /// Ends a relay whose pages are all there. One that is no text of whole rows ends the connection.
+    /// Ends a relay whose pages are all there, or not wanted. What is no text of whole rows ends the connection.
     fn complete(&mut self, now: Moment, at: u64, rid: &Rid, counters: &mut Counters) {
-        let Some(connection) = self.connections.get(&at) else { return };
-        let Some(coming) = connection.relays.get(rid).and_then(|relay| relay.coming.as_ref()) else { return };
-        let Some(pages) = coming.pages.iter().cloned().collect::<Option<Vec<Bytes>>>() else { return };
+        let Some(connection) = self.connections.get_mut(&at) else { return };
+        let Some(relay) = connection.relays.get_mut(rid) else { return };
+        let Some(coming) = relay.coming.as_mut() else { return };
+        let missing = coming.pages.iter().any(Option::is_none);
+        let pages: Vec<Bytes> =
+            if missing { Vec::new() } else { coming.pages.iter().flatten().cloned().collect() };
         if coming.size > RESULT || !pages.iter().all(|page| is_rows(page)) {
             warn!(engine = connection.engine.0, "a result that is no rows of text");
             return self.end(now, at, "a result that is no rows of text", counters);
         }
+        if missing && !relay.unwanted {
+            return;
+        }
         let news = News::Completed { cpu: coming.cpu, memory_mb: coming.memory_mb };
-        counters.relays_done += 1;
         let latency = coming.latency;
+        counters.relays_done += 1;
+        if missing {
+            connection.socket.put(&lines::forget(rid));
+        }
         self.over(now, at, rid, news, latency, pages);
+        self.flush(now, at, counters);
     }
 }
 
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -115,7 +115,7 @@
     }
 
     pub fn run(mut self) -> Result<(), StartError> {
-        let mut ready = Ready::default();
+        let (mut ready, mut busy) = (Ready::default(), 0.0);
         while self.phase != Phase::Exit {
             let due = self.due();
             self.event_loop.dispatch(duration(due - self.clock.now()), &mut ready)?;
@@ -130,6 +130,8 @@
             self.accept(now);
             self.service.turn(now);
             self.step(now)?;
+            busy += (self.clock.now() - now).secs();
+            self.service.counters.busy_ms = (busy * 1e3) as u64;
         }
         self.print();
         Ok(())
@@ -211,7 +213,7 @@
     fn print(&self) {
         let service = &self.service;
         eprintln!(
-            "counters: {}open={} sessions={} engine_connections={} polls={}",
+            "counters: {}open={} sessions={} engines_open={} polls_open={}",
             service.counters,
             service.counters.open(),
             service.clients.len(),
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -28,7 +28,8 @@
     product: usize,
     text: Bytes,
     answered: bool,
-    out: usize,
+    /// One, where a statement may not have two out at the same time.
+    out: Vec<RelayNo>,
 }
 
 pub struct Service {
@@ -167,7 +168,7 @@
             (*cpu, *memory_mb) = (None, None);
         }
         let still_out = matches!(news, News::Progress(_) | News::Strained | News::Streaming);
-        passing.out = passing.out.saturating_sub(usize::from(!still_out));
+        passing.out.retain(|relay| still_out || *relay != report.relay);
         let completed = matches!(news, News::Completed { .. });
         if completed && !passing.answered {
             let pages = report.pages;
@@ -186,10 +187,10 @@
     fn heard(&mut self, now: Moment, news: clients::News) {
         match news {
             clients::News::Asked { session, text } => self.asked(now, session, &text),
-            clients::News::Left(id) => self.left(id),
+            clients::News::Left(id) => self.left(now, id),
             clients::News::Kill { by, session, whole } => {
                 let killed = self.clients.kill(now, session, whole, &mut self.counters);
-                killed.flatten().into_iter().for_each(|id| self.left(id));
+                killed.flatten().into_iter().for_each(|id| self.left(now, id));
                 self.clients.answer(now, by, &mut self.counters, |answer| match killed {
                     Some(_) => answer.ok(),
                     None => answer.error(1094, b"HY000", "Unknown thread id"),
@@ -198,11 +199,13 @@
         }
     }
 
-    fn left(&mut self, id: StatementId) {
+    fn left(&mut self, now: Moment, id: StatementId) {
         let Some(passing) = self.passing.get_mut(&id).filter(|passing| !passing.answered) else { return };
         (passing.answered, passing.text) = (true, Bytes::new());
         self.counters.client_left += 1;
+        let out = passing.out.clone();
         self.dispatch.gone(id);
+        out.into_iter().for_each(|relay| self.engines.unwanted(now, id, relay, &mut self.counters));
         self.forget(id);
     }
 
@@ -222,7 +225,7 @@
         self.next += 1;
         self.counters.statements_taken += 1;
         let product = wants.product.0;
-        let passing = Passing { session, rid, product, text: statement, answered: false, out: 0 };
+        let passing = Passing { session, rid, product, text: statement, answered: false, out: Vec::new() };
         self.passing.insert(id, passing);
         self.clients.took(session, id);
         let pick = self.dispatch.pick(now, id, &wants);
@@ -266,7 +269,7 @@
 
     fn relay(&mut self, now: Moment, id: StatementId, order: Order) {
         let Some(passing) = self.passing.get_mut(&id) else { return };
-        passing.out += 1;
+        passing.out.push(order.relay);
         let outgoing = Outgoing {
             statement: id,
             relay: order.relay,
@@ -301,7 +304,7 @@
     }
 
     fn forget(&mut self, id: StatementId) {
-        if self.passing.get(&id).is_some_and(|passing| passing.answered && passing.out == 0) {
+        if self.passing.get(&id).is_some_and(|passing| passing.answered && passing.out.is_empty()) {
             self.passing.remove(&id);
         }
     }
--- a/examples/toy/src/engine.rs
+++ b/examples/toy/src/engine.rs
@@ -23,6 +23,8 @@
     Garbage,
     /// Done, but without its further pages.
     LosesPages,
+    /// Done, and more than any result holds.
+    Huge,
 }
 
 #[derive(Default)]
@@ -104,6 +106,11 @@
                     results.insert(id.clone(), pages);
                     let answer = match *self.mood.lock().unwrap() {
                         Mood::Well => done,
+                        Mood::Huge => {
+                            let page = format!("{}\t\t\n", "x".repeat(50_000));
+                            results.insert(id.clone(), vec![page.clone(); 3]);
+                            answer(&id, "DONE", "total=3", &page)
+                        }
                         Mood::LosesPages => {
                             results.remove(&id);
                             done
