--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -7,7 +7,7 @@
 use std::net::TcpStream;
 
 use admission::interface::*;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use tracing::debug;
 
 use crate::counters::Counters;
@@ -237,7 +237,7 @@
         now: Moment,
         id: u32,
         counters: &mut Counters,
-        answer: impl FnOnce(Answer) -> Vec<u8>,
+        answer: impl FnOnce(Answer) -> BytesMut,
     ) -> bool {
         let Some(session) = self.sessions.get_mut(&id).filter(|session| session.asked) else { return false };
         session.socket.put(&answer(Answer::to(session.seq)));
--- a/crates/gateway/src/clients/packets.rs
+++ b/crates/gateway/src/clients/packets.rs
@@ -1,10 +1,11 @@
 //! The MySQL client protocol 4.1, the server's side: packets in, packets out.
 
-use bytes::{Buf, BytesMut};
+use bytes::BytesMut;
 use mysql_common::constants::{CapabilityFlags, ColumnType, StatusFlags};
 use mysql_common::io::ParseBuf;
 use mysql_common::misc::raw::{RawBytes, bytes::LenEnc};
 use mysql_common::packets::{Column, ErrPacket, HandshakePacket, HandshakeResponse, ServerError, SqlState};
+use mysql_common::proto::codec::{ChunkDecoder, ChunkInfo, packet_to_chunks};
 use mysql_common::proto::{MyDeserialize, MySerialize};
 use thiserror::Error;
 
@@ -24,50 +25,41 @@
     pub body: BytesMut,
 }
 
-/// Takes one whole packet off the front, if it is all there.
+/// Takes one whole packet off the front, if it is all there; until then the front stays as it is.
 pub fn take(from: &mut BytesMut) -> Result<Option<Packet>, TooLarge> {
-    if from.len() < 4 {
-        return Ok(None);
+    let mut body = BytesMut::new();
+    match ChunkDecoder::default().decode(from, &mut body, LARGEST) {
+        Ok(Some(ChunkInfo::Middle(seq) | ChunkInfo::Last(seq))) => Ok(Some(Packet { seq, body })),
+        Ok(None) => Ok(None),
+        Err(_) => Err(TooLarge),
     }
-    let length = from[..3].iter().rev().fold(0, |sum, byte| sum << 8 | usize::from(*byte));
-    if length > LARGEST {
-        return Err(TooLarge);
-    }
-    if from.len() < 4 + length {
-        return Ok(None);
-    }
-    let seq = from[3];
-    from.advance(4);
-    Ok(Some(Packet { seq, body: from.split_to(length) }))
 }
 
 /// Packets of one answer, numbered on from the question's.
 pub struct Answer {
     seq: u8,
-    pub bytes: Vec<u8>,
+    bytes: BytesMut,
+    packet: Vec<u8>,
 }
 
 impl Answer {
     pub fn to(seq: u8) -> Self {
-        Answer { seq: seq.wrapping_add(1), bytes: Vec::new() }
+        Answer { seq: seq.wrapping_add(1), bytes: BytesMut::new(), packet: Vec::new() }
     }
 
     fn packet(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
-        let at = self.bytes.len();
-        self.bytes.extend([0, 0, 0, self.seq]);
-        write(&mut self.bytes);
-        let length = self.bytes.len() - at - 4;
-        self.bytes[at..at + 3].copy_from_slice(&(length as u32).to_le_bytes()[..3]);
-        self.seq = self.seq.wrapping_add(1);
+        self.packet.clear();
+        write(&mut self.packet);
+        self.seq = packet_to_chunks(self.seq, &mut &self.packet[..], &mut self.bytes);
     }
 
-    pub fn ok(mut self) -> Vec<u8> {
+    pub fn ok(mut self) -> BytesMut {
         // No rows changed, no id; autocommit; no warnings.
         self.packet(|out| out.extend([0, 0, 0, 2, 0, 0, 0]));
         self.bytes
     }
 
-    pub fn error(mut self, code: u16, state: &[u8; 5], text: &str) -> Vec<u8> {
+    pub fn error(mut self, code: u16, state: &[u8; 5], text: &str) -> BytesMut {
         let error = ServerError::new(code, Some(SqlState::new(*state)), text.as_bytes());
         self.packet(|out| ErrPacket::Error(error).serialize(out));
         self.bytes
@@ -92,7 +84,7 @@
     }
 
     /// A result of whole rows as the engine's pages hold them: a tab between columns, a line feed after each.
-    pub fn result<'a>(mut self, pages: impl Iterator<Item = &'a [u8]>) -> Vec<u8> {
+    pub fn result<'a>(mut self, pages: impl Iterator<Item = &'a [u8]>) -> BytesMut {
         self.columns(&["c1", "c2", "c3"]);
         for page in pages {
             for row in page.split_inclusive(|byte| *byte == b'\n') {
@@ -105,7 +97,7 @@
     }
 
     /// What a client's own set-up asks: one value, or none of our concern.
-    pub fn value(mut self, name: &str, value: &[u8]) -> Vec<u8> {
+    pub fn value(mut self, name: &str, value: &[u8]) -> BytesMut {
         self.columns(&[name]);
         self.row([value].into_iter());
         self.eof();
@@ -113,7 +105,7 @@
     }
 }
 
-pub fn greeting(connection: u32) -> Vec<u8> {
+pub fn greeting(connection: u32) -> BytesMut {
     let capabilities = CapabilityFlags::CLIENT_LONG_PASSWORD
         | CapabilityFlags::CLIENT_LONG_FLAG
         | CapabilityFlags::CLIENT_CONNECT_WITH_DB
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use admission::interface::{Moment, Span};
+use admission::interface::Moment;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -20,9 +20,10 @@
     pub fn now(&self) -> Moment {
         Moment::from_secs((self.unix + self.at.elapsed()).as_secs_f64())
     }
-}
 
-/// How long to sleep; past moments need none.
-pub fn duration(span: Span) -> Duration {
-    Duration::from_secs_f64(span.secs().max(0.0))
+    /// The same point on the monotonic clock; the past counts as now.
+    pub fn instant(&self, moment: Moment) -> Instant {
+        let left = (moment - self.now()).secs().max(0.0);
+        Instant::now() + Duration::from_secs_f64(left)
+    }
 }
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -7,14 +7,15 @@
 use admission::interface::*;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
-use calloop::{EventLoop, Interest, Mode, PostAction};
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
 use settings::SettingsError;
 use thiserror::Error;
 use tracing::{info, warn};
 
 use crate::board::Board;
 use crate::clients::Clients;
-use crate::clock::{Clock, duration};
+use crate::clock::Clock;
 use crate::config::Config;
 use crate::engines::Engines;
 use crate::service::Service;
@@ -65,6 +66,8 @@
     /// The backlog may hold more than we had room for; no further edge tells of it.
     backlog: bool,
     clock: Clock,
+    /// The one timer, set to whatever is due first: all that is due ends in the same turn.
+    timer: Option<(Moment, RegistrationToken)>,
     service: Service,
 }
 
@@ -95,6 +98,7 @@
             listener: None,
             backlog: false,
             clock,
+            timer: None,
             service,
         })
     }
@@ -118,7 +122,11 @@
         let (mut ready, mut busy) = (Ready::default(), 0.0);
         while self.phase != Phase::Exit {
             let due = self.due();
-            self.event_loop.dispatch(duration(due - self.clock.now()), &mut ready)?;
+            self.arm(due)?;
+            self.event_loop.dispatch(None, &mut ready)?;
+            if std::mem::take(&mut ready.due) {
+                self.timer = None;
+            }
             let now = self.clock.now();
             let counters = &mut self.service.counters;
             counters.turns += 1;
@@ -137,6 +145,21 @@
         Ok(())
     }
 
+    fn arm(&mut self, due: Moment) -> Result<(), StartError> {
+        let handle = self.event_loop.handle();
+        match self.timer.take_if(|timer| timer.0 != due) {
+            None if self.timer.is_some() => return Ok(()),
+            stale => stale.into_iter().for_each(|timer| handle.remove(timer.1)),
+        }
+        let fired = |_, _: &mut (), ready: &mut Ready| {
+            ready.due = true;
+            TimeoutAction::Drop
+        };
+        let timer = Timer::from_deadline(self.clock.instant(due));
+        self.timer = Some((due, handle.insert_source(timer, fired).map_err(|e| e.error)?));
+        Ok(())
+    }
+
     fn due(&self) -> Moment {
         let due = self.service.next_due();
         match self.phase {
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use admission::interface::*;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dispatch::{Dispatch, Order, Pick, Verdict, Wants};
 use settings::{Settings, SettingsError};
 use tracing::info;
@@ -296,7 +296,7 @@
         self.answer(now, id, |answer| answer.error(1105, b"HY000", "the statement could not be completed"));
     }
 
-    fn answer(&mut self, now: Moment, id: StatementId, answer: impl FnOnce(Answer) -> Vec<u8>) {
+    fn answer(&mut self, now: Moment, id: StatementId, answer: impl FnOnce(Answer) -> BytesMut) {
         let Some(passing) = self.passing.get_mut(&id) else { return };
         (passing.answered, passing.text) = (true, Bytes::new());
         let session = passing.session;
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -25,6 +25,8 @@
 pub struct Ready {
     pub peers: Vec<Peer>,
     pub signals: Vec<calloop::signals::Signal>,
+    /// The timer has fired, and is gone.
+    pub due: bool,
 }
 
 pub type Loop = LoopHandle<'static, Ready>;
