--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -7,11 +7,13 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use toy::board::{self, Board, target};
 use toy::client::{Answer, Client, login_packet, packet, query_packet};
-use toy::engine::{Engine, Mood};
+use toy::engine::{Engine, GARBAGE, Mood};
 
 /// A gateway, ended with the test whatever became of it.
 struct Gateway {
@@ -212,12 +214,12 @@
 fn every_way_an_engine_fails_ends_in_one_answer() {
     let engine = engine(1);
     let gateway = Gateway::before(&[engine.address]);
-    let moods =
-        [Mood::Full, Mood::Error, Mood::Past, Mood::Reset, Mood::Garbage, Mood::LosesPages, Mood::Huge];
-    for mood in moods {
+    let moods = [Mood::Full, Mood::Error, Mood::Past, Mood::Reset, Mood::LosesPages, Mood::Huge];
+    for mood in moods.into_iter().chain((0..GARBAGE.len()).map(Mood::Garbage)) {
         engine.set(mood);
-        let mut client = gateway.client();
+        let (mut client, before) = (gateway.client(), engine.lines().len());
         let answer = client.ask(&commented(800, "SELECT a FROM s_1.t LIMIT 900")).unwrap();
+        assert!(engine.lines().len() > before, "{mood:?} was never met");
         assert!(denied(&answer), "{mood:?}: {answer:?}");
         assert_eq!(client.ping().unwrap(), Answer::Ok, "{mood:?}");
     }
@@ -287,6 +289,43 @@
     add_up(&log);
 }
 
+#[test]
+fn answers_twice_or_unasked_change_nothing() {
+    let engine = engine(1);
+    let gateway = Gateway::before(&[engine.address]);
+    engine.set(Mood::Twice);
+    let mut client = gateway.client();
+    for n in 0..20 {
+        assert_eq!(
+            rows(client.ask(&commented(2000, &format!("SELECT {n}"))).unwrap())[0][1],
+            format!("SELECT {n}")
+        );
+    }
+    assert_eq!((client.ping().unwrap(), engine.connections()), (Answer::Ok, 1));
+}
+
+#[test]
+fn noise_from_clients_ends_only_their_sessions() {
+    let engine = engine(1);
+    let gateway = Gateway::before(&[engine.address]);
+    let mut steady = gateway.client();
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    for round in 0..200 {
+        let mut noise = if round % 2 == 0 { login_packet("app", b"", "warehouse") } else { Vec::new() };
+        let length = rng.random_range(1..3000);
+        noise.extend((0..length).map(|_| rng.random::<u8>()));
+        // Small packets, so that some are read as commands.
+        let small = rng.random_range(1..60u8);
+        noise.extend((0..5).flat_map(|_| packet(0, &vec![rng.random_range(0..32u8); small.into()])));
+        let mut stream = std::net::TcpStream::connect(gateway.listen).unwrap();
+        let _ = stream.write_all(&noise);
+    }
+    for n in 0..5 {
+        assert_eq!(rows(steady.ask(&commented(2000, &format!("SELECT {n}"))).unwrap()).len(), 1);
+    }
+    assert_eq!(engine.lines().iter().filter(|line| line.starts_with("do ")).count(), 5);
+}
+
 #[test]
 fn pages_that_nobody_waits_for_are_forgotten() {
     let engine = engine(300);
--- a/examples/toy/src/engine.rs
+++ b/examples/toy/src/engine.rs
@@ -19,14 +19,29 @@
     Reset,
     /// Answers only once the query was given up, and then all the same.
     Late,
-    /// An answer that is none.
-    Garbage,
+    /// An answer that is none: one of `GARBAGE`.
+    Garbage(usize),
+    /// The right answer, one to an id that nobody sent, and the right one again.
+    Twice,
     /// Done, but without its further pages.
     LosesPages,
     /// Done, and more than any result holds.
     Huge,
 }
 
+/// What no engine should say; `ID` stands for the query's id.
+pub const GARBAGE: [&[u8]; 9] = [
+    b"what is this\r\n",
+    b"ID GONE - 0\r\n\r\n",
+    b"ID DONE total=1 -5\r\n\r\n",
+    b"ID DONE total=1 99999999\r\n",
+    b"ID DONE total=1 4\r\na\tb\tc\r\n",
+    b"ID DONE total=1 4\r\na\tb\n\r\n",
+    b"ID DONE total=1 6\r\n\xff\t\xfe\t\xc0\n\r\n",
+    b"ID DONE total=1000000 6\r\na\tb\tc\n\r\n",
+    &[b'x'; 5000],
+];
+
 #[derive(Default)]
 struct Seen {
     lines: Vec<String>,
@@ -118,7 +133,16 @@
                         Mood::Full => answer(&id, "WAIT", "-", ""),
                         Mood::Error => answer(&id, "BROKE", "-", ""),
                         Mood::Past => answer(&id, "PAST", "-", ""),
-                        Mood::Garbage => "what is this\r\n".to_owned(),
+                        Mood::Garbage(which) => {
+                            let garbage = GARBAGE[which % GARBAGE.len()];
+                            let rest = garbage.strip_prefix(b"ID").unwrap_or(garbage);
+                            let head = if rest.len() < garbage.len() { id.as_bytes() } else { b"" };
+                            out.lock().unwrap().write_all(&[head, rest].concat())?;
+                            continue;
+                        }
+                        Mood::Twice => {
+                            [&done[..], &answer("ffffffffffffffff", "DONE", "total=1", ""), &done].concat()
+                        }
                         Mood::Silent => continue,
                         Mood::Late => {
                             late.insert(id, done);
