--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -1,7 +1,7 @@
 //! The gateway as a process on loopback, between our own stand-ins for clients, engines and notice board.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::sleep;
@@ -268,6 +268,41 @@
     add_up(&log);
 }
 
+#[test]
+fn a_connection_that_never_comes_up_is_given_up_in_time() {
+    let stuck = TcpListener::bind("127.0.0.1:0").unwrap();
+    rustix::net::listen(&stuck, 0).unwrap();
+    let address = stuck.local_addr().unwrap();
+    // With the backlog full the machine answers no further connection, as one that vanished.
+    let _full: Vec<_> = (0..4).map(|_| TcpStream::connect_timeout(&address, millis(50))).collect();
+    let gateway = Gateway::before(&[address]);
+    let begun = Instant::now();
+    assert!(denied(&gateway.client().ask(&commented(3000, "SELECT 1")).unwrap()));
+    assert!((millis(250)..millis(2000)).contains(&begun.elapsed()), "{:?}", begun.elapsed());
+    gateway.signal(Signal::TERM);
+    let (_, log) = gateway.end(millis(5000));
+    assert_eq!(counter(&log, "relays_unreachable"), counter(&log, "relays_sent"), "{log}");
+    add_up(&log);
+}
+
+#[test]
+fn a_client_that_breaks_off_is_owed_nothing() {
+    let engine = engine(300);
+    let gateway = Gateway::before(&[engine.address]);
+    let mut client = gateway.client();
+    client.stream.write_all(&packet(0, &[0x0e])).unwrap();
+    client.stream.write_all(&query_packet(&commented(3000, "SELECT 1"))).unwrap();
+    sleep(millis(100));
+    // Closed with an answer unread: its machine resets the connection.
+    drop(client);
+    sleep(millis(400));
+    gateway.signal(Signal::TERM);
+    let (_, log) = gateway.end(millis(5000));
+    assert_eq!((counter(&log, "client_left"), counter(&log, "completed")), (1, 0), "{log}");
+    assert_eq!(counter(&log, "relays_done"), 1, "{log}");
+    add_up(&log);
+}
+
 #[test]
 fn kill_query_from_another_session_ends_it_there() {
     let engine = engine(1);
@@ -317,7 +352,7 @@
         // Small packets, so that some are read as commands.
         let small = rng.random_range(1..60u8);
         noise.extend((0..5).flat_map(|_| packet(0, &vec![rng.random_range(0..32u8); small.into()])));
-        let mut stream = std::net::TcpStream::connect(gateway.listen).unwrap();
+        let mut stream = TcpStream::connect(gateway.listen).unwrap();
         let _ = stream.write_all(&noise);
     }
     for n in 0..5 {
@@ -406,6 +441,21 @@
     }
 }
 
+#[test]
+fn a_board_that_starts_again_is_asked_from_the_start() {
+    let (first, second) = (engine(1), engine(1));
+    let gateway = Gateway::before(&[first.address]);
+    let mut client = gateway.client();
+    for _ in 0..3 {
+        gateway.board.tell(false, vec![target("e-0", first.address, "in_service")]);
+    }
+    sleep(millis(300));
+    gateway.board.restart(vec![target("e-9", second.address, "in_service")]);
+    sleep(millis(1500));
+    assert_eq!(rows(client.ask(&commented(2000, "SELECT 1")).unwrap()).len(), 1);
+    assert_eq!((first.connections(), second.connections()), (0, 1));
+}
+
 #[test]
 fn a_board_that_answers_seconds_late_is_still_heard() {
     let (first, second) = (engine(1), engine(1));
@@ -511,7 +561,7 @@
     let gateway = Gateway::with(&[engine.address], |config| config["limits"]["sockets"] = json!(64));
     sleep(millis(100));
     let mut clients: Vec<Client> = (0..32).map(|_| gateway.client()).collect();
-    let mut waiting = std::net::TcpStream::connect(gateway.listen).unwrap();
+    let mut waiting = TcpStream::connect(gateway.listen).unwrap();
     waiting.set_read_timeout(Some(millis(1000))).unwrap();
     assert!(waiting.read(&mut [0; 8]).is_err());
     let stat = std::fs::read_to_string(format!("/proc/{}/stat", gateway.child.id())).unwrap();
--- a/examples/toy/src/board.rs
+++ b/examples/toy/src/board.rs
@@ -63,6 +63,11 @@
         events.push(event(number, all, targets));
     }
 
+    /// Starts again: numbers from 1, and only this list.
+    pub fn restart(&self, targets: Vec<Value>) {
+        *self.events.lock().unwrap() = vec![event(1, true, targets)];
+    }
+
     /// The events up to now, in the form of the answers and of `known`.
     pub fn known(&self) -> Value {
         let events = self.events.lock().unwrap();
