A shortage of descriptors of our own is not laid at an engine's door; accept warns once

Seen with 40 descriptors: a relay whose socket could not be made was told as unreachable, which counts as the engine's failure and benches it; accept warned each turn. Now it is told as never sent. Tests: descriptors that run out, a stopped and continued process; each test gateway listens on an address of its own.

--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -12,7 +12,7 @@
 use tracing::{debug, warn};
 
 use crate::counters::Counters;
-use crate::socket::{Loop, Peer, Socket};
+use crate::socket::{Loop, Peer, Socket, is_shortage};
 use lines::{Answer, Rid, Word};
 
 /// Network fact: a result holds 48,000 bytes at most, and what stands between its values. What is past this,
@@ -178,12 +178,21 @@
             return None;
         }
         let at = self.next;
-        let opened = address.map(|to| Socket::connect(to, &self.handle, Peer::Engine(at)));
-        let (Some(address), Some(Ok(socket))) = (address, opened) else {
-            warn!(engine = o.engine.0, "no connection could be begun");
-            counters.relays_unreachable += 1;
-            self.reports.push(never(News::Unreachable));
-            return None;
+        let opened = address.map(|to| (to, Socket::connect(to, &self.handle, Peer::Engine(at))));
+        let (address, socket) = match opened {
+            Some((address, Ok(socket))) => (address, socket),
+            other => {
+                let error = other.and_then(|(_, opened)| opened.err());
+                debug!(engine = o.engine.0, ?error, "no connection could be begun");
+                // Our own shortage must not be laid at the engine's door.
+                let (news, count) = match error {
+                    Some(error) if is_shortage(&error) => (News::NeverSent, &mut counters.relays_unsent),
+                    _ => (News::Unreachable, &mut counters.relays_unreachable),
+                };
+                *count += 1;
+                self.reports.push(never(news));
+                return None;
+            }
         };
         self.next += 1;
         counters.engine_connections += 1;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -65,6 +65,8 @@
     listener: Option<TcpListener>,
     /// The backlog may hold more than we had room for; no further edge tells of it.
     backlog: bool,
+    /// Accepting failed, and was logged once.
+    short: bool,
     clock: Clock,
     /// The one timer, set to whatever is due first: all that is due ends in the same turn.
     timer: Option<(Moment, RegistrationToken)>,
@@ -97,6 +99,7 @@
             listen: config.listen,
             listener: None,
             backlog: false,
+            short: false,
             clock,
             timer: None,
             service,
@@ -184,6 +187,7 @@
         while self.backlog && self.service.clients.room() {
             match listener.accept() {
                 Ok((stream, _)) => {
+                    self.short = false;
                     self.service.clients.accept(now, stream, &mut self.service.counters);
                 }
                 Err(error) => match error.kind() {
@@ -191,7 +195,9 @@
                     io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted => {}
                     _ => {
                         // Out of descriptors: they wait in the backlog, and the next turn tries again.
-                        warn!(%error, "accept");
+                        if !std::mem::replace(&mut self.short, true) {
+                            warn!(%error, "accept");
+                        }
                         return;
                     }
                 },
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -11,6 +11,13 @@
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use rustix::net::{AddressFamily, SocketFlags, SocketType, connect, ipproto, socket_with, sockopt};
 
+/// This machine or program is out of descriptors or buffers; the peer has no part in it.
+pub fn is_shortage(error: &io::Error) -> bool {
+    use rustix::io::Errno;
+    let short = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
+    Errno::from_io_error(error).is_some_and(|errno| short.contains(&errno))
+}
+
 /// Whom a readiness is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Peer {
--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -29,8 +29,11 @@
     Duration::from_millis(ms)
 }
 
+/// An address of this run's own: a port that was free a moment ago may be another test's by now.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let [high, low] = (1 + RUNS.fetch_add(1, Ordering::Relaxed) as u16).to_be_bytes();
+    let run = 64 + (std::process::id() % 128) as u8;
+    SocketAddr::from(([127, run, high, low], 7000))
 }
 
 fn engine(delay_ms: u64) -> Engine {
@@ -49,6 +52,14 @@
 
     /// Starts one that knows these engines, and waits until it answers.
     fn with(engines: &[SocketAddr], change: impl FnOnce(&mut Value)) -> Self {
+        Self::by(spawn, engines, change)
+    }
+
+    fn by(
+        spawn: fn(&std::path::Path) -> Child,
+        engines: &[SocketAddr],
+        change: impl FnOnce(&mut Value),
+    ) -> Self {
         let (board, listen) = (Board::start("127.0.0.1:0").unwrap(), free_address());
         let names = engines.iter().enumerate();
         let targets = names.map(|(at, address)| target(&format!("e-{at}"), *address, "in_service"));
@@ -574,6 +585,45 @@
     assert_eq!(rows(gateway.client().ask(&commented(2000, "SELECT 1")).unwrap()).len(), 1);
 }
 
+#[test]
+fn descriptors_that_run_out_are_no_fault_of_an_engine() {
+    fn spawn_short(config: &std::path::Path) -> Child {
+        let command = format!("ulimit -n 40; exec {}", env!("CARGO_BIN_EXE_laurelhitch"));
+        let mut shell = Command::new("/bin/sh");
+        shell.args(["-c", &command]).env("RELAY_CONFIG", config).stderr(Stdio::piped()).spawn().unwrap()
+    }
+    let engine = engine(1);
+    let gateway = Gateway::by(spawn_short, &[engine.address], |_| {});
+    let mut first = gateway.client();
+    let _more: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(gateway.listen).unwrap()).collect();
+    sleep(millis(300));
+    assert!(denied(&first.ask(&commented(2000, "SELECT 1")).unwrap()));
+    drop(_more);
+    sleep(millis(600));
+    assert_eq!(rows(first.ask(&commented(2000, "SELECT 1")).unwrap()).len(), 1);
+    gateway.signal(Signal::TERM);
+    let (status, log) = gateway.end(millis(5000));
+    assert!(status.success());
+    assert!(counter(&log, "relays_unsent") > 0 && counter(&log, "relays_unreachable") == 0, "{log}");
+    // Once for each time that it ran short anew, not once a turn.
+    assert!((1..5).contains(&log.lines().filter(|line| line.contains("accept")).count()), "{log}");
+    assert!(counter(&log, "busy_ms") < 300, "{log}");
+    add_up(&log);
+}
+
+#[test]
+fn a_stopped_process_goes_on_where_it_was() {
+    let engine = engine(1);
+    let gateway = Gateway::before(&[engine.address]);
+    let mut client = gateway.client();
+    gateway.signal(Signal::STOP);
+    client.stream.write_all(&query_packet(&commented(2000, "SELECT 1"))).unwrap();
+    sleep(millis(400));
+    gateway.signal(Signal::CONT);
+    assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    assert_eq!(rows(client.ask(&commented(2000, "SELECT 2")).unwrap()).len(), 1);
+}
+
 #[test]
 fn a_client_that_does_not_read_holds_up_nobody() {
     let engine = engine(1);
