Logins of ordinary clients: only capabilities that both sides have shape the packet

Seen with a stock Python client against the example: 1043 at login. It names connect attributes and length-encoded passwords though neither is offered, and writes none of them; mysql_common reads the packet by the client's flags alone. Lines at fault: packets.rs, login(). Now the flags are cut to what the greeting offers.

--- a/crates/gateway/src/clients/packets.rs
+++ b/crates/gateway/src/clients/packets.rs
@@ -105,14 +105,17 @@
     }
 }
 
-pub fn greeting(connection: u32) -> BytesMut {
-    let capabilities = CapabilityFlags::CLIENT_LONG_PASSWORD
+fn offered() -> CapabilityFlags {
+    CapabilityFlags::CLIENT_LONG_PASSWORD
         | CapabilityFlags::CLIENT_LONG_FLAG
         | CapabilityFlags::CLIENT_CONNECT_WITH_DB
         | CapabilityFlags::CLIENT_PROTOCOL_41
         | CapabilityFlags::CLIENT_TRANSACTIONS
         | CapabilityFlags::CLIENT_SECURE_CONNECTION
-        | CapabilityFlags::CLIENT_PLUGIN_AUTH;
+        | CapabilityFlags::CLIENT_PLUGIN_AUTH
+}
+
+pub fn greeting(connection: u32) -> BytesMut {
     let packet = HandshakePacket::new(
         10,
         &b"8.0.0-laurelhitch"[..],
@@ -120,7 +123,7 @@
         // No password is ever checked with it.
         *b"laurel--",
         Some(&b"hitch-------\0"[..]),
-        capabilities,
+        offered(),
         UTF8,
         StatusFlags::SERVER_STATUS_AUTOCOMMIT,
         Some(&b"mysql_native_password"[..]),
@@ -135,7 +138,11 @@
 
 pub fn login(body: &[u8]) -> Result<(), Denied> {
     let malformed = (1043, b"08S01", "Bad handshake");
-    let response = HandshakeResponse::deserialize((), &mut ParseBuf(body)).map_err(|_| malformed)?;
+    // Only what both sides can do shapes the packet; ordinary clients name more than they were offered.
+    let mut body = body.to_vec();
+    let offered = offered().bits().to_le_bytes();
+    body.iter_mut().zip(offered).for_each(|(theirs, ours)| *theirs &= ours);
+    let response = HandshakeResponse::deserialize((), &mut ParseBuf(&body)).map_err(|_| malformed)?;
     if !response.capabilities().contains(CapabilityFlags::CLIENT_PROTOCOL_41) {
         return Err(malformed);
     }
--- a/crates/gateway/tests/codecs.rs
+++ b/crates/gateway/tests/codecs.rs
@@ -153,6 +153,10 @@
     assert_eq!(login("app", b"secret", "warehouse"), Err(1045));
     assert_eq!(login("app", b"", "other"), Err(1049));
     assert_eq!(packets::login(b"\x01\x02").map_err(|denied| denied.0), Err(1043));
+    // Ordinary clients name capabilities that were not offered, and write nothing of them.
+    let mut eager = toy::client::login_packet("app", b"", "warehouse")[4..].to_vec();
+    eager[2..4].copy_from_slice(&[0xff, 0x00]);
+    assert_eq!(packets::login(&eager), Ok(()));
 }
 
 const TOLD: &str = r#"{"rev":12,"notices":[{"rev":12,"pool":{"rev":3,"all":true,"targets":[{"uid":"e-0000002a",
