--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -18,8 +18,10 @@
 use crate::engines::{Engines, Outgoing, Report};
 
 /// Network fact: an answer must be with the client before its budget ends, and the budget runs from when the
-/// client sent; so much goes on the two ways and in the machines' queues.
-const WAYS_S: f64 = 0.008;
+/// client sent. So much is kept for the two ways and for a machine that stands still a moment, and of short
+/// budgets no more than this part.
+const WAYS_S: f64 = 0.06;
+const WAYS_PART: f64 = 0.1;
 /// How long after its hard limit a statement may still be without the decisions' answer, within its budget.
 const OVERDUE_S: f64 = 0.004;
 
@@ -277,7 +279,8 @@
         if self.passing.len() >= self.most_open {
             return Err(Unusable::Full);
         }
-        let budget = Span::from_secs(read.budget_ms / 1e3 - WAYS_S);
+        let budget_s = read.budget_ms / 1e3;
+        let budget = Span::from_secs(budget_s - WAYS_S.min(budget_s * WAYS_PART));
         let wants = Wants {
             product: ProductId(product),
             tenant: TenantId(tenant),
