The facade can hold a statement ahead of the module's line: enter, offer, turn away

Cause: a queue ahead of the decisions needs to know what a statement will cost, how long it is of use and whether there is room, without filling the module's own line, whose hold of 5% of the hard limit starts with the offer.

Change: the module tells a forecast (predicted CPU, memory, end of use) and the cores in use, and denies for a queue with when to come back; the facade takes a statement without lining it up, and an offer that finds no room is withdrawn at once.

--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -236,6 +236,16 @@
     }
 }
 
+/// What sending a statement would take, by what is known now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Forecast {
+    /// Predicted CPU: estimate x k.
+    pub cpu: Span,
+    pub memory_mb: f64,
+    /// Sent later than this, its answer is of no use.
+    pub useful_until: Moment,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum News {
     /// Still out: the share done.
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -364,12 +364,8 @@
         }
         let product = &self.products[s.product.0];
         let (predicted, left) = (self.costs.predict(s), (s.hard_limit - now).secs());
-        // An answer that comes when it earns nothing only takes cores from those that still can.
-        let best = median(self.engines.values().filter_map(|e| e.books.lag.best).collect()).unwrap_or(1.0);
-        let alone = predicted / product.threads * best;
-        let quoted_left = quoted(product, predicted) - (now - s.taken).secs();
-        let useful = if product.late_gain > 0.0 { left } else { left.min(quoted_left) };
-        let hopeless = left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || alone * 0.5 > useful;
+        let spare = self.spare(now, s, predicted);
+        let hopeless = left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || spare < 0.0;
         let (hold, turn) = (product.hard_limit.secs() * HOLD, self.in_turn(now, s));
         if hopeless || !s.relays.is_empty() && !self.may_relay_again(now) {
             return self.give_up(now, s);
@@ -382,6 +378,37 @@
         if (turn && held >= hold) || left < 0.05 { self.give_up(now, s) } else { Answer::NotYet(place) }
     }
 
+    /// How much longer it may wait. An answer that comes when it earns nothing only takes cores from those that
+    /// still can.
+    fn spare(&self, now: Moment, s: &Statement, predicted: f64) -> f64 {
+        let (product, left) = (&self.products[s.product.0], (s.hard_limit - now).secs());
+        let best = median(self.engines.values().filter_map(|e| e.books.lag.best).collect()).unwrap_or(1.0);
+        let alone = predicted / product.threads * best;
+        let quoted_left = quoted(product, predicted) - (now - s.taken).secs();
+        let useful = if product.late_gain > 0.0 { left } else { left.min(quoted_left) };
+        useful - alone * 0.5
+    }
+
+    /// What it would take, and how long it may wait for that: for a queue ahead. Nothing changes by asking.
+    pub fn forecast(&self, now: Moment, s: &Statement) -> Forecast {
+        let predicted = self.costs.predict(s);
+        let spare = self.spare(now, s, predicted).min((s.hard_limit - now).secs() - 0.05);
+        let useful_until = now + Span::from_secs(spare);
+        Forecast { cpu: Span::from_secs(predicted), memory_mb: self.need_mb(s), useful_until }
+    }
+
+    /// A queue ahead has no room for it, or would hold it too long: denied as ever, with when to come back.
+    pub fn turn_away(&mut self, now: Moment, s: &Statement, back: Span) -> Answer {
+        let Answer::Deny { come_back } = self.give_up(now, s) else { return Answer::Scrap };
+        Answer::Deny { come_back: come_back.map(|longest| back.max(Span::from_secs(0.02)).min(longest)) }
+    }
+
+    /// Cores of the engines in use, as this gateway's share of what they can do now.
+    pub fn capacity(&self, now: Moment) -> f64 {
+        let used = |e: &&Engine| e.fact.stage == Stage::Ready && e.health.benched_until.is_none();
+        self.engines.values().filter(used).map(|e| e.books.cores * warmth(self.cold, e, now)).sum()
+    }
+
     pub fn after(&mut self, now: Moment, s: &Statement, o: &Outcome) -> After {
         let Some(relay) = s.relays.get(o.relay.0 as usize) else { return After::Stay };
         let (predicted, threads, charge) = (self.costs.predict(s), relay.threads, relay.charge.secs());
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,6 +31,8 @@
     pub rank: Option<u8>,
     /// The statement's rank differs from that of its relay before.
     pub rank_changed: bool,
+    /// The CPU it is charged until its outcome tells.
+    pub charge: Span,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -83,9 +85,17 @@
 
     /// Takes a statement. One that is in hand already stays as it is.
     pub fn pick(&mut self, now: Moment, id: StatementId, wants: &Wants) -> Pick {
-        if self.hand.contains_key(&id) {
+        if !self.take(now, id, wants) {
             return Pick::Held;
         }
+        // The first ask only gives the place in line; the line is asked by `tick`, once all news is in.
+        self.ask(now, id)
+    }
+
+    fn take(&mut self, now: Moment, id: StatementId, wants: &Wants) -> bool {
+        if self.hand.contains_key(&id) {
+            return false;
+        }
         let statement = Statement {
             id,
             product: wants.product,
@@ -101,8 +111,59 @@
             relays: Vec::new(),
         };
         self.hand.insert(id, InHand { statement, over: false, rank: None });
-        // The first ask only gives the place in line; the line is asked by `tick`, once all news is in.
-        self.ask(now, id)
+        true
+    }
+
+    /// Takes a statement that a queue ahead holds: it gets its place, but stands in no line here. `None`: it is in
+    /// hand already.
+    pub fn enter(&mut self, now: Moment, id: StatementId, wants: &Wants) -> Option<(Place, Forecast)> {
+        if !self.take(now, id, wants) {
+            return None;
+        }
+        self.ask(now, id);
+        let statement = &self.hand.get(&id)?.statement;
+        let place = statement.place?;
+        self.line.remove(&place);
+        Some((place, self.policy.forecast(now, statement)))
+    }
+
+    /// What an entered statement would take by now.
+    pub fn forecast(&self, now: Moment, id: StatementId) -> Option<Forecast> {
+        self.hand.get(&id).map(|in_hand| self.policy.forecast(now, &in_hand.statement))
+    }
+
+    /// Asks for an entered statement. `Pick::Held`: there is no room now, and it is the queue's again; an offer lasts
+    /// an instant, so the module's hold, which counts from it, never runs.
+    pub fn offer(&mut self, now: Moment, id: StatementId) -> Pick {
+        let Some(in_hand) = self.hand.get_mut(&id) else { return Pick::Held };
+        in_hand.statement.held_since = now;
+        let place = in_hand.statement.place;
+        let pick = self.ask(now, id);
+        if pick == Pick::Held {
+            place.map(|place| self.line.remove(&place));
+        }
+        pick
+    }
+
+    /// The queue cannot keep an entered statement; about so long until it could have.
+    pub fn turn_away(&mut self, now: Moment, id: StatementId, back: Span) -> Pick {
+        let Some(in_hand) = self.hand.get_mut(&id) else { return Pick::Held };
+        let answer = self.policy.turn_away(now, &in_hand.statement, back);
+        in_hand.over = true;
+        self.forget(id);
+        match answer {
+            Answer::Deny { come_back } => Pick::Deny { come_back },
+            _ => Pick::Scrap,
+        }
+    }
+
+    pub fn holds(&self, id: StatementId) -> bool {
+        self.hand.contains_key(&id)
+    }
+
+    /// Cores of the engines in use, as this gateway's share.
+    pub fn capacity(&self, now: Moment) -> f64 {
+        self.policy.capacity(now)
     }
 
     /// What became of a relay, or a note of one still out. `settled`: the client has its answer.
@@ -157,14 +218,25 @@
     /// Asks for all that wait, the earliest hard limit first.
     pub fn tick(&mut self, now: Moment) -> Tick {
         let mut due = Vec::new();
-        for place in self.line.iter().copied().collect::<Vec<_>>() {
+        for place in self.line() {
             let pick = self.ask(now, place.id);
             if pick != Pick::Held {
                 due.push((place.id, pick));
             }
         }
-        let pause = self.policy.pause(now, self.line.len());
-        Tick { due, probe: pause.probe, list: pause.list, wait: pause.wait }
+        let (probe, list, wait) = self.rest(now, 0);
+        Tick { due, probe, list, wait }
+    }
+
+    /// All that wait in the module's own line, in its order.
+    pub fn line(&self) -> Vec<Place> {
+        self.line.iter().copied().collect()
+    }
+
+    /// The end of a tick, with so many more waiting ahead: engines to probe, the list to ask for, how long to sleep.
+    pub fn rest(&mut self, now: Moment, ahead: usize) -> (Vec<EngineId>, Option<ListAsk>, Span) {
+        let Pause { wait, probe, list } = self.policy.pause(now, self.line.len() + ahead);
+        (probe, list, wait)
     }
 
     /// The client no longer waits: no answer is owed, relays out still report.
@@ -204,7 +276,8 @@
         }
     }
 
-    fn ask(&mut self, now: Moment, id: StatementId) -> Pick {
+    /// Asks for one that waits in line.
+    pub fn ask(&mut self, now: Moment, id: StatementId) -> Pick {
         let Some(in_hand) = self.hand.get_mut(&id) else { return Pick::Held };
         let answer = self.policy.place(now, &in_hand.statement);
         if let Answer::NotYet(place) = answer {
@@ -221,8 +294,8 @@
                 in_hand.statement.relays.push(relay);
                 let hard_limit = in_hand.statement.hard_limit;
                 let due = limit.map_or(hard_limit, |limit| hard_limit.min(now + limit));
-                let (engine, relay) = (relay.engine, number);
-                return Pick::Relay(Order { relay, engine, limit, due, rank, rank_changed });
+                let (engine, charge, relay) = (relay.engine, relay.charge, number);
+                return Pick::Relay(Order { relay, engine, limit, due, rank, rank_changed, charge });
             }
             Answer::Deny { come_back } => Pick::Deny { come_back },
             Answer::Scrap | Answer::NotYet(_) => Pick::Scrap,
