Packages queues and operator: waiting work by member and desk, and the operator's file

Statements are to wait by member and desk, within budgets of predicted CPU, and to know how long.

Change: crates/queues, pure: desks found by name or network (longest prefix), accounts by budget with lending by weight, an ordered line (a treap with least needs and sums) that skips what there is no room for, ageing, displacement among those who wait, estimates from the work ahead and the pace of release by core, corrected by how earlier ones turned out; Hall puts it before dispatch and is dispatch itself where no teams are given. crates/operator reads the operator's HCL: unknown fields refused, errors name file, line and field. Nothing uses them yet.

--- /dev/null
+++ b/crates/operator/tests/file.rs
@@ -0,0 +1,84 @@
+//! The operator's file as operators write it, and every way it can be wrong that we know.
+
+use std::path::Path;
+
+use operator::Operator;
+
+const GOOD: &str = r#"
+queues {
+  ageing_ms      = 500
+  default_member = "south-power"
+
+  member "valley-water" {
+    cpu_s_per_s  = 6.0
+    default_desk = "kiosk"
+    desk "counter" {
+      cpu_s_per_s = 4
+      networks    = ["10.1.0.0/16", "fd00::/8"]
+    }
+    desk "kiosk" {
+      cpu_s_per_s = 2
+      weight      = 7
+    }
+  }
+  member "south-power" { cpu_s_per_s = 3 }
+}
+"#;
+
+fn error(text: &str) -> String {
+    Operator::parse(Path::new("site.hcl"), text).unwrap_err().to_string()
+}
+
+#[test]
+fn a_good_file_gives_terms_with_the_defaults_first() {
+    let terms = Operator::parse(Path::new("site.hcl"), GOOD).unwrap().queues.unwrap();
+    let names: Vec<_> = terms.members.iter().map(|member| &member.name[..]).collect();
+    assert_eq!(names, ["south-power", "valley-water"]);
+    let water = &terms.members[1];
+    let desks: Vec<_> = water.desks.iter().map(|d| (&d.name[..], d.claim.budget, d.claim.weight)).collect();
+    assert_eq!(desks, [("kiosk", 2.0, 7.0), ("counter", 4.0, 4.0)]);
+    assert_eq!((terms.ageing.secs(), terms.burst.secs()), (0.5, 2.0));
+    assert_eq!(terms.members[0].desks.len(), 1);
+}
+
+#[test]
+fn nothing_said_or_switched_off_is_off() {
+    let off = GOOD.replace("ageing_ms ", "enabled = false\n ageing_ms ");
+    for text in ["", "# all off\n", &off] {
+        assert_eq!(Operator::parse(Path::new("site.hcl"), text).unwrap(), Operator::default());
+    }
+}
+
+#[test]
+fn each_fault_is_one_error_with_file_line_and_field() {
+    for (change, to, want) in [
+        ("ageing_ms ", "ageing ", "site.hcl:3: queues.ageing: unknown field `ageing`"),
+        ("= 500", "= \"soon\"", "site.hcl:3: queues.ageing_ms: invalid type"),
+        ("= 500", "= -1", "site.hcl:3: queues.ageing_ms: -1 is not between 10 and 600000"),
+        ("\"south-power\"\n", "\"nobody\"\n", "site.hcl:4: queues.default_member: no such member"),
+        ("\"kiosk\"\n", "\"hall\"\n", "site.hcl:8: queues.member.valley-water.default_desk: no such desk"),
+        (
+            "= 6.0",
+            "= 5.5",
+            "site.hcl:7: queues.member.valley-water.cpu_s_per_s: its desks are owed 6 together",
+        ),
+        ("10.1.0.0/16", "10.1.0.0/33", "site.hcl:11: queues.member.valley-water.desk.counter.networks"),
+        ("weight ", "wait ", "site.hcl:15: queues.member.valley-water.desk.kiosk.wait: unknown field"),
+        ("\"fd00::/8\"", "\"10.1.2.3/16\"", "site.hcl:11: queues.member.valley-water.desk.counter.networks"),
+        ("queues {", "queues {\n  extra {}", "site.hcl:3: queues.extra: unknown field"),
+        ("\nqueues", "\nqueue", "site.hcl:2: queue: unknown field"),
+        ("= 500", "= ", "site.hcl:3: no HCL"),
+        ("{ cpu_s_per_s = 3 }", "{ cpu_s_per_s = 3", "site.hcl:18: no HCL"),
+        ("{ cpu_s_per_s = 3 }", "{}", "site.hcl:18: queues.member.south-power: missing field `cpu_s_per_s`"),
+    ] {
+        assert!(GOOD.contains(change), "{change}");
+        let got = error(&GOOD.replacen(change, to, 1));
+        assert!(got.starts_with(want) && !got.contains('\n'), "{got}, not {want}");
+    }
+    assert!(
+        Operator::read(Path::new("/nonexistent.hcl"))
+            .unwrap_err()
+            .to_string()
+            .starts_with("/nonexistent.hcl: ")
+    );
+}
--- /dev/null
+++ b/crates/queues/src/budget.rs
@@ -0,0 +1,101 @@
+//! One team's account: what it is owed, and its part of what others leave.
+
+use admission::interface::{Moment, Span};
+
+use crate::terms::Claim;
+
+/// A bucket of predicted CPU seconds that fills at the budget, and a virtual time for what is lent beyond it.
+/// A team is under its budget while the bucket holds something; then its work is charged there, also into debt, so
+/// that one statement larger than the whole bucket can go. What is lent is no debt: it moves the virtual time only,
+/// and the team with the least is next.
+#[derive(Clone, Debug)]
+pub struct Account {
+    claim: Claim,
+    most: f64,
+    level: f64,
+    at: Moment,
+    lent: f64,
+}
+
+/// Where a charge went, to be corrected there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Paid {
+    Budget,
+    Lent,
+}
+
+impl Account {
+    /// Under this weight a team would wait for ever beside others.
+    const LEAST_WEIGHT: f64 = 1e-6;
+
+    pub fn new(now: Moment, claim: Claim, burst: Span) -> Self {
+        let most = claim.budget * burst.secs();
+        Account { claim, most, level: most, at: now, lent: 0.0 }
+    }
+
+    /// New terms: what it has used stays used.
+    pub fn change(&mut self, now: Moment, claim: Claim, burst: Span) {
+        self.fill(now);
+        let kept = self.level / self.most.max(1e-9);
+        let fresh = Account::new(now, claim, burst);
+        let level = if self.most > 0.0 { (kept * fresh.most).min(fresh.most) } else { fresh.most };
+        *self = Account { level, lent: self.lent, ..fresh };
+    }
+
+    fn fill(&mut self, now: Moment) {
+        let gone = (now - self.at).secs().max(0.0);
+        self.level = (self.level + self.claim.budget * gone).min(self.most);
+        self.at = now;
+    }
+
+    /// Whether its next statement is owed to it.
+    pub fn under(&mut self, now: Moment) -> bool {
+        self.fill(now);
+        self.level > 1e-9
+    }
+
+    /// When it will be under its budget again; never where nothing is owed.
+    pub fn under_at(&mut self, now: Moment) -> Option<Moment> {
+        self.fill(now);
+        // A microsecond more: the clock's grain must not leave it just short.
+        (self.claim.budget > 0.0)
+            .then(|| now + Span::from_secs((-self.level / self.claim.budget).max(0.0) + 1e-6))
+    }
+
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    pub fn lent(&self) -> f64 {
+        self.lent
+    }
+
+    pub fn claim(&self) -> Claim {
+        self.claim
+    }
+
+    /// One that comes back starts with the others: what it did not take while away is nobody's debt.
+    pub fn join(&mut self, lent: f64) {
+        self.lent = self.lent.max(lent);
+    }
+
+    pub fn pay(&mut self, now: Moment, cpu: f64) -> Paid {
+        if self.under(now) {
+            self.level -= cpu;
+            return Paid::Budget;
+        }
+        self.lent += cpu / self.claim.weight.max(Self::LEAST_WEIGHT);
+        Paid::Lent
+    }
+
+    /// Beyond what was paid (less, if negative), as the outcome told.
+    pub fn correct(&mut self, now: Moment, paid: Paid, more: f64) {
+        self.fill(now);
+        match paid {
+            Paid::Budget => self.level = (self.level - more).min(self.most),
+            Paid::Lent => {
+                self.lent = (self.lent + more / self.claim.weight.max(Self::LEAST_WEIGHT)).max(0.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/queues/src/hall.rs
@@ -0,0 +1,232 @@
+//! The lines before the decisions, called as `dispatch` is: without lines it passes all through unchanged. A
+//! statement is taken by the module when it comes, waits here, and is offered when its turn comes; an offer that
+//! finds no room is withdrawn at once, so that the module's own line stays short and its hold never runs here.
+
+use admission::interface::*;
+use dispatch::{Dispatch, Order, Pick, Tick, Verdict, Wants};
+
+use crate::lines::{DeskStatus, Entered, Entry, Lines, StatementStatus, Wait};
+use crate::order::Need;
+use crate::pace::Estimate;
+use crate::terms::{DeskId, Terms};
+
+/// What happened at the lines, in numbers that only grow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Statements that came to wait, of those offered.
+    pub entered: u64,
+    /// Denied at entry: no room for them, or too long a wait.
+    pub turned_away: u64,
+    /// Denied while waiting, for one with the better claim.
+    pub displaced: u64,
+    pub released: u64,
+    /// Denied by the module while waiting.
+    pub denied: u64,
+    /// Their clients left while they waited.
+    pub left: u64,
+    /// Offers that found no room.
+    pub refused: u64,
+    /// Estimates told at entry that came within a fifth, or 20 ms, of the wait.
+    pub told_well: u64,
+}
+
+pub struct Hall {
+    dispatch: Dispatch,
+    lines: Option<Lines>,
+    /// Denials of this turn for displaced statements; emptied by the next tick.
+    owed: Vec<(StatementId, Pick)>,
+    waits: Vec<Wait>,
+    tally: Tally,
+    answer_by: Option<Moment>,
+}
+
+impl Hall {
+    pub fn new(dispatch: Dispatch, lines: Option<Lines>) -> Self {
+        Hall {
+            dispatch,
+            lines,
+            owed: Vec::new(),
+            waits: Vec::new(),
+            tally: Tally::default(),
+            answer_by: None,
+        }
+    }
+
+    /// Takes a statement. With lines it is held, or denied at once; without, it is as `Dispatch::pick`.
+    pub fn pick(&mut self, now: Moment, id: StatementId, desk: DeskId, wants: &Wants) -> Pick {
+        let Some(lines) = &mut self.lines else { return self.dispatch.pick(now, id, wants) };
+        // Without it, one that comes while the gateway ends could wait past that end.
+        let budget = self.answer_by.map_or(wants.budget, |by| wants.budget.min(by - now));
+        let entered = self.dispatch.enter(now, id, &Wants { budget, ..*wants });
+        let Some((place, forecast)) = entered else { return Pick::Held };
+        let need = Need { cpu: forecast.cpu.secs(), memory_mb: forecast.memory_mb };
+        let (product, useful_until, key) = (wants.product, forecast.useful_until, wants.key);
+        let entering = lines.enter(now, &Entry { id, desk, product, place, need, useful_until, key });
+        self.tally.entered += 1;
+        for (victim, back) in entering.displaced {
+            self.tally.displaced += 1;
+            self.owed.push((victim, self.dispatch.turn_away(now, victim, back)));
+        }
+        match entering.entered {
+            Entered::Waits(_) => Pick::Held,
+            Entered::TurnedAway { back } => {
+                self.tally.turned_away += 1;
+                self.dispatch.turn_away(now, id, back)
+            }
+        }
+    }
+
+    /// As `Dispatch::report`; who ran pays what the outcome tells.
+    pub fn report(
+        &mut self,
+        now: Moment,
+        id: StatementId,
+        relay: RelayNo,
+        news: News,
+        latency: Span,
+        settled: bool,
+    ) -> Verdict {
+        let verdict = self.dispatch.report(now, id, relay, news, latency, settled);
+        if let Some(lines) = &mut self.lines {
+            let cpu = match news {
+                News::Completed { cpu, .. } => cpu.map(Span::secs),
+                News::TurnedAway | News::Unreachable | News::NeverSent => Some(0.0),
+                _ => None,
+            };
+            lines.came_to(now, id, cpu);
+            if !self.dispatch.holds(id) {
+                lines.over(id);
+            }
+        }
+        verdict
+    }
+
+    /// Offers what waits, as far as there is room.
+    pub fn tick(&mut self, now: Moment) -> Tick {
+        let Some(lines) = &mut self.lines else { return self.dispatch.tick(now) };
+        let mut due = std::mem::take(&mut self.owed);
+        self.waits.clear();
+        lines.round(now, self.dispatch.capacity(now));
+        for id in lines.past(now) {
+            offer(&mut self.dispatch, lines, &mut self.waits, &mut self.tally, now, id, &mut due);
+        }
+        // Statements with a relay behind them stand in the module's own line: among all, the earliest hard limit.
+        let again = self.dispatch.line();
+        let mut again = again.into_iter().peekable();
+        loop {
+            let next = lines.next_place();
+            while let Some(place) = again.next_if(|place| next.is_none_or(|next| *place < next)) {
+                let pick = self.dispatch.ask(now, place.id);
+                match pick {
+                    Pick::Held => continue,
+                    Pick::Relay(order) => lines.repeated(now, place.id, order.charge.secs()),
+                    Pick::Deny { .. } | Pick::Scrap => lines.over(place.id),
+                }
+                due.push((place.id, pick));
+            }
+            let Some(place) = next else { break };
+            offer(&mut self.dispatch, lines, &mut self.waits, &mut self.tally, now, place.id, &mut due);
+        }
+        let (probe, list, wait) = self.dispatch.rest(now, lines.len());
+        Tick { due, probe, list, wait }
+    }
+
+    /// As `Dispatch::gone`.
+    pub fn gone(&mut self, now: Moment, id: StatementId) {
+        self.dispatch.gone(id);
+        if let Some(lines) = &mut self.lines {
+            self.tally.left += u64::from(lines.left(now, id));
+            if !self.dispatch.holds(id) {
+                lines.over(id);
+            }
+        }
+    }
+
+    pub fn told_list(&mut self, now: Moment, news: &ListNews) {
+        self.dispatch.told_list(now, news);
+    }
+
+    pub fn told_load(&mut self, engine: EngineId, report: &LoadReport) {
+        self.dispatch.told_load(engine, report);
+    }
+
+    pub fn beliefs(&self) -> impl Iterator<Item = (EngineId, u32, bool)> {
+        self.dispatch.beliefs()
+    }
+
+    /// As `Dispatch::answer_by`, for what waits too.
+    pub fn answer_by(&mut self, by: Moment) {
+        self.dispatch.answer_by(by);
+        self.lines.iter_mut().for_each(|lines| lines.answer_by(by));
+        self.answer_by = Some(by);
+    }
+
+    /// Other terms, with all that waits; nothing where there are no lines.
+    pub fn change(&mut self, now: Moment, terms: Terms) {
+        self.lines.iter_mut().for_each(|lines| lines.change(now, terms.clone()));
+    }
+
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// The waits that ended in the last tick.
+    pub fn waits(&self) -> &[Wait] {
+        &self.waits
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.lines.as_ref().map_or(0, Lines::len)
+    }
+
+    pub fn longest_passed(&self, now: Moment) -> Span {
+        self.lines.as_ref().map_or(Span::ZERO, |lines| lines.longest_passed(now))
+    }
+
+    pub fn status(&mut self, now: Moment, most: usize) -> Option<Vec<DeskStatus>> {
+        self.lines.as_mut().map(|lines| lines.status(now, most))
+    }
+
+    pub fn statement(&mut self, now: Moment, id: StatementId) -> Option<StatementStatus> {
+        self.lines.as_mut()?.statement(now, id)
+    }
+
+    /// Waited so far, and the wait still before it.
+    pub fn progress(&mut self, now: Moment, id: StatementId) -> Option<(Span, Estimate)> {
+        let lines = self.lines.as_mut()?;
+        Some((lines.waited(now, id)?, lines.estimate(now, id)?))
+    }
+}
+
+/// Asks the module about one that waits, and takes it out of line unless there was no room.
+fn offer(
+    dispatch: &mut Dispatch,
+    lines: &mut Lines,
+    waits: &mut Vec<Wait>,
+    tally: &mut Tally,
+    now: Moment,
+    id: StatementId,
+    due: &mut Vec<(StatementId, Pick)>,
+) {
+    let pick = dispatch.offer(now, id);
+    match pick {
+        Pick::Held => {
+            tally.refused += 1;
+            let useful = dispatch.forecast(now, id).map_or(now, |forecast| forecast.useful_until);
+            return lines.refused(id, useful);
+        }
+        Pick::Relay(Order { charge, .. }) => {
+            tally.released += 1;
+            let wait = lines.released(now, id, charge.secs());
+            let well =
+                |wait: &Wait| (wait.told - wait.real).secs().abs() <= (0.2 * wait.real.secs()).max(0.02);
+            tally.told_well += u64::from(wait.as_ref().is_some_and(well));
+            waits.extend(wait);
+        }
+        Pick::Deny { .. } | Pick::Scrap => {
+            tally.denied += 1;
+            lines.left(now, id);
+        }
+    }
+    due.push((id, pick));
+}
--- /dev/null
+++ b/crates/queues/src/lines.rs
@@ -0,0 +1,882 @@
+//! Who waits, and who is asked about next. Two levels: members hold desks, statements wait at desks. Nothing here
+//! chooses an engine or denies by itself; see docs/notes/queues.md for the order and why it is so.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use admission::interface::*;
+
+use crate::budget::{Account, Paid};
+use crate::order::{Arena, Frontier, Need, Root};
+use crate::pace::{Estimate, Pace, Record};
+use crate::terms::{DeskId, MemberId, Terms};
+
+/// How many teams are looked at behind the first when the first has only what there is no room for.
+const LOOK: usize = 64;
+/// Statements that one may displace: it needs their room in CPU seconds.
+const DISPLACED: usize = 16;
+
+/// A statement as it comes to wait.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub id: StatementId,
+    pub desk: DeskId,
+    pub product: ProductId,
+    pub place: Place,
+    pub need: Need,
+    /// After this an answer is of no use any more, by the module's word.
+    pub useful_until: Moment,
+    pub key: Option<OrderKey>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Entered {
+    Waits(Estimate),
+    /// No room, or it would wait beyond its use; about so long until it would not.
+    TurnedAway {
+        back: Span,
+    },
+}
+
+/// What an entry led to; the displaced are out of line and owed a denial.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entering {
+    pub entered: Entered,
+    pub displaced: Vec<(StatementId, Span)>,
+}
+
+/// A product's statements by whether their tenant is over its allowance: for one of these, room only shrinks with need.
+type Lane = usize;
+
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    desk: u32,
+    lane: Lane,
+    place: Place,
+    need: Need,
+    entered: Moment,
+    useful_until: Moment,
+    raw: f64,
+    told: Span,
+    key: Option<OrderKey>,
+    /// It stands in its desk's line; else an earlier one of its key does, or it is passed by for this round.
+    in_line: bool,
+}
+
+/// What a statement that was released is charged, until its outcome.
+#[derive(Clone, Copy, Debug)]
+struct Charge {
+    desk: u32,
+    member: u32,
+    by: (Paid, Paid),
+    cpu: f64,
+}
+
+/// How a team shows in its parent's ranks: under its budget, by its first statement; or by what it was lent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Shown {
+    Under(Place),
+    Over(u64),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Ranks {
+    under: BTreeSet<(Place, u32)>,
+    over: BTreeSet<(u64, u32)>,
+}
+
+impl Ranks {
+    fn change(&mut self, team: u32, old: &mut Option<Shown>, new: Option<Shown>) {
+        if *old == new {
+            return;
+        }
+        match std::mem::replace(old, new) {
+            Some(Shown::Under(place)) => drop(self.under.remove(&(place, team))),
+            Some(Shown::Over(lent)) => drop(self.over.remove(&(lent, team))),
+            None => {}
+        }
+        match new {
+            Some(Shown::Under(place)) => drop(self.under.insert((place, team))),
+            Some(Shown::Over(lent)) => drop(self.over.insert((lent, team))),
+            None => {}
+        }
+    }
+
+    /// The team whose turn it is: the first under its budget, else the one that was lent least.
+    fn first(&self) -> Option<u32> {
+        self.under.first().map(|(_, team)| *team).or_else(|| self.over.first().map(|(_, team)| *team))
+    }
+}
+
+struct Desk {
+    name: String,
+    member: u32,
+    account: Account,
+    roots: Vec<Root>,
+    shown: Vec<Option<Shown>>,
+    paces: Vec<Pace>,
+    pace: Pace,
+    count: u32,
+    cpu: f64,
+    /// Since when its first has been passed over; set while something waits.
+    passed_since: Option<Moment>,
+}
+
+struct Member {
+    name: String,
+    account: Account,
+    ranks: Vec<Ranks>,
+    shown: Vec<Option<Shown>>,
+    lent_now: f64,
+    waiting: u32,
+    desks: Vec<u32>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Team {
+    Desk(u32),
+    Member(u32),
+}
+
+/// One desk, as a status shows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DeskStatus {
+    pub member: String,
+    pub desk: String,
+    pub waiting: u32,
+    /// Predicted CPU seconds that wait.
+    pub cpu: f64,
+    /// Predicted CPU seconds a second: owed, and released of late while something waited.
+    pub budget: f64,
+    pub rate: Option<f64>,
+    /// What is saved of the budget; negative: to be made up for first.
+    pub saved: f64,
+    pub longest: Span,
+    /// For one more usual statement of each product.
+    pub next: Vec<Estimate>,
+}
+
+/// One waiting statement.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StatementStatus {
+    pub member: String,
+    pub desk: String,
+    /// So many of its product at its desk leave before it.
+    pub ahead: u32,
+    pub waited: Span,
+    pub left: Estimate,
+}
+
+/// How the wait of a released statement was told at its entry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Wait {
+    pub product: ProductId,
+    pub desk: DeskId,
+    pub told: Span,
+    pub real: Span,
+}
+
+pub struct Lines {
+    terms: Terms,
+    products: usize,
+    arena: Arena,
+    desks: Vec<Desk>,
+    members: Vec<Member>,
+    root: Vec<Ranks>,
+    lent_now: f64,
+    /// Emptied by release, denial and the client's leaving.
+    waiting: BTreeMap<StatementId, Waiter>,
+    /// Ends of their use; leaves with them.
+    useful: BTreeSet<(Moment, StatementId)>,
+    /// Desks where something waits, the longest passed over first.
+    passed: BTreeSet<(Moment, u32)>,
+    /// Desks where something waits, by CPU seconds for each one owed.
+    heavy: BTreeSet<(u64, u32)>,
+    /// Teams over their budget, by when they are under it again.
+    refills: BTreeSet<(Moment, Team)>,
+    refill_at: BTreeMap<Team, Moment>,
+    /// Statements in hand of one key, oldest first; a key leaves with its last one that waits.
+    keys: BTreeMap<OrderKey, VecDeque<StatementId>>,
+    parked: Vec<StatementId>,
+    frontiers: Vec<Frontier>,
+    /// Emptied by the last outcome of each.
+    charges: BTreeMap<StatementId, Charge>,
+    records: Vec<Record>,
+    whole: Pace,
+    usual: Vec<f64>,
+    count: u32,
+    cpu: f64,
+    cores: f64,
+    now: Moment,
+}
+
+/// Non-negative floats sort as their bits do.
+fn bits(of: f64) -> u64 {
+    of.max(0.0).to_bits()
+}
+
+impl Lines {
+    pub fn new(now: Moment, terms: Terms, products: usize, seed: u64) -> Self {
+        let mut lines = Lines {
+            products,
+            arena: Arena::new(seed),
+            desks: Vec::new(),
+            members: Vec::new(),
+            root: vec![Ranks::default(); products * 2],
+            lent_now: 0.0,
+            waiting: BTreeMap::new(),
+            useful: BTreeSet::new(),
+            passed: BTreeSet::new(),
+            heavy: BTreeSet::new(),
+            refills: BTreeSet::new(),
+            refill_at: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            parked: Vec::new(),
+            frontiers: vec![Frontier::default(); products * 2],
+            charges: BTreeMap::new(),
+            records: vec![Record::default(); products],
+            whole: Pace::new(now),
+            usual: vec![0.0; products],
+            count: 0,
+            cpu: 0.0,
+            cores: 1.0,
+            now,
+            terms,
+        };
+        lines.lay_out();
+        lines
+    }
+
+    fn lay_out(&mut self) {
+        let (now, lanes, burst) = (self.now, self.products * 2, self.terms.burst);
+        for terms in &self.terms.members {
+            let member = self.members.len() as u32;
+            let first = self.desks.len() as u32;
+            for desk in &terms.desks {
+                self.desks.push(Desk {
+                    name: desk.name.clone(),
+                    member,
+                    account: Account::new(now, desk.claim, burst),
+                    roots: vec![Root::default(); lanes],
+                    shown: vec![None; lanes],
+                    paces: vec![Pace::new(now); self.products],
+                    pace: Pace::new(now),
+                    count: 0,
+                    cpu: 0.0,
+                    passed_since: None,
+                });
+            }
+            self.members.push(Member {
+                name: terms.name.clone(),
+                account: Account::new(now, terms.claim, burst),
+                ranks: vec![Ranks::default(); lanes],
+                shown: vec![None; lanes],
+                lent_now: 0.0,
+                waiting: 0,
+                desks: (first..self.desks.len() as u32).collect(),
+            });
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    pub fn holds(&self, id: StatementId) -> bool {
+        self.waiting.contains_key(&id)
+    }
+
+    pub fn place(&self, id: StatementId) -> Option<Place> {
+        self.waiting.get(&id).map(|waiter| waiter.place)
+    }
+
+    /// Released statements whose outcome is not known yet.
+    pub fn charged(&self) -> usize {
+        self.charges.len()
+    }
+
+    /// Time goes on: accounts fill, and a new round of asking begins. `cores`: what engines in use have, as this
+    /// gateway's share; estimates follow it at once.
+    pub fn round(&mut self, now: Moment, cores: f64) {
+        if (cores - self.cores).abs() > 1e-9 {
+            // What passed up to now passed with the cores of before.
+            let before = std::mem::replace(&mut self.cores, cores);
+            for desk in self.passed.iter().map(|(_, desk)| *desk as usize) {
+                let Desk { paces, pace, .. } = &mut self.desks[desk];
+                paces.iter_mut().chain([pace]).for_each(|pace| pace.advance(now, before));
+            }
+            self.whole.advance(now, before);
+        }
+        self.now = now;
+        while let Some((at, team)) = self.refills.first().copied().filter(|(at, _)| *at <= now) {
+            self.refills.remove(&(at, team));
+            self.refill_at.remove(&team);
+            match team {
+                Team::Desk(desk) => self.show_desk(desk),
+                Team::Member(member) => self.show_member(member),
+            }
+        }
+        self.frontiers
+            .iter_mut()
+            .filter(|frontier| !frontier.is_empty())
+            .for_each(|f| *f = Frontier::default());
+        for id in std::mem::take(&mut self.parked) {
+            if self.waiting.get(&id).is_some_and(|waiter| !waiter.in_line) {
+                self.line_up(id);
+            }
+        }
+    }
+
+    pub fn enter(&mut self, now: Moment, entry: &Entry) -> Entering {
+        self.now = now;
+        let lane = entry.product.0 * 2 + usize::from(entry.place.over_allowance);
+        let desk = entry.desk.0.min(self.desks.len() as u32 - 1);
+        let usual = &mut self.usual[entry.product.0];
+        *usual = if *usual > 0.0 { *usual + (entry.need.cpu - *usual) * 0.05 } else { entry.need.cpu };
+        let raw = self.raw(desk, lane, entry.place, entry.need);
+        let told = self.records[entry.product.0].tell(raw);
+        let useful = (entry.useful_until - now).secs();
+        // Of one whose key's turn has to come first nothing is known; it waits.
+        if entry.key.is_none() && told.wait.secs() > useful.max(0.0) && told.wait.secs() > 0.05 {
+            let back = Span::from_secs(told.wait.secs() - useful.max(0.0));
+            return Entering { entered: Entered::TurnedAway { back }, displaced: Vec::new() };
+        }
+        let Some(displaced) = self.make_room(desk, entry.place, entry.need) else {
+            return Entering { entered: Entered::TurnedAway { back: told.wait }, displaced: Vec::new() };
+        };
+        let displaced = displaced.into_iter().map(|(id, waiter)| (id, self.back(&waiter))).collect();
+        self.waiting.insert(
+            entry.id,
+            Waiter {
+                desk,
+                lane,
+                place: entry.place,
+                need: entry.need,
+                entered: now,
+                useful_until: entry.useful_until,
+                raw,
+                told: told.wait,
+                key: entry.key,
+                in_line: false,
+            },
+        );
+        self.useful.insert((entry.useful_until, entry.id));
+        let first = entry.key.is_none_or(|key| {
+            let line = self.keys.entry(key).or_default();
+            line.push_back(entry.id);
+            line.len() == 1
+        });
+        if first {
+            self.line_up(entry.id);
+        }
+        Entering { entered: Entered::Waits(told), displaced }
+    }
+
+    /// Room at the desk and in all, if need be in the place of those with the worse claim: at one desk those that
+    /// would leave later, among desks the last of the one with the most waiting for what it is owed.
+    fn make_room(&mut self, desk: u32, place: Place, need: Need) -> Option<Vec<(StatementId, Waiter)>> {
+        let mut out: Vec<(StatementId, Waiter)> = Vec::new();
+        let fits = |bound: crate::terms::Bound, count: u32, cpu: f64| {
+            count == 0 || count < bound.statements && cpu + need.cpu <= bound.cpu
+        };
+        loop {
+            let of = &self.desks[desk as usize];
+            let here = fits(self.terms.each, of.count, of.cpu);
+            if here && fits(self.terms.all, self.count, self.cpu) {
+                return Some(out);
+            }
+            let own = (of.cpu + need.cpu) / owed(of);
+            let heaviest = self.heavy.last().copied().filter(|_| here).filter(|(_, other)| *other != desk);
+            let heaviest = heaviest.filter(|(load, _)| f64::from_bits(*load) > own).map(|(_, other)| other);
+            let from = heaviest.unwrap_or(desk);
+            let victim = self.last_of(from).filter(|last| heaviest.is_some() || last.by > place.by);
+            let Some(victim) = victim.filter(|_| out.len() < DISPLACED) else {
+                // Its claim is not better after all: who was to go stays.
+                out.into_iter().rev().for_each(|(id, waiter)| self.put_back(id, waiter));
+                return None;
+            };
+            let waiter = self.take_out(victim.id).expect("in line");
+            out.push((victim.id, waiter));
+        }
+    }
+
+    fn last_of(&self, desk: u32) -> Option<Place> {
+        let roots = &self.desks[desk as usize].roots;
+        roots.iter().filter_map(|root| self.arena.last(*root)).map(|(place, _)| place).max()
+    }
+
+    fn put_back(&mut self, id: StatementId, waiter: Waiter) {
+        self.useful.insert((waiter.useful_until, id));
+        self.waiting.insert(id, Waiter { in_line: false, ..waiter });
+        if let Some(key) = waiter.key {
+            self.keys.entry(key).or_default().push_front(id);
+        }
+        self.line_up(id);
+    }
+
+    /// The next to ask the module about, or nobody in this round any more.
+    pub fn next_place(&self) -> Option<Place> {
+        let aged = |since: &Moment| *since + self.terms.ageing <= self.now;
+        let passed = self.passed.iter().take(LOOK).take_while(|(since, _)| aged(since));
+        if let Some(place) = passed.into_iter().find_map(|(_, desk)| self.first_at(*desk)) {
+            return Some(place);
+        }
+        let mut best: Option<Place> = None;
+        for lane in 0..self.root.len() {
+            for (place, member) in self.root[lane].under.iter().take(LOOK) {
+                if best.is_some_and(|best| best <= *place) {
+                    break;
+                }
+                best = [best, self.first_of(*member, lane)].into_iter().flatten().min();
+                if best == Some(*place) {
+                    break;
+                }
+            }
+        }
+        if best.is_some() {
+            return best;
+        }
+        let mut best: Option<(u64, Place)> = None;
+        for lane in 0..self.root.len() {
+            let over = self.root[lane].over.iter().take(LOOK);
+            let found = over.filter_map(|(lent, member)| Some((*lent, self.first_of(*member, lane)?))).next();
+            best = [best, found].into_iter().flatten().min();
+        }
+        best.map(|(_, place)| place)
+    }
+
+    /// The first of a desk that may have room, over all products.
+    fn first_at(&self, desk: u32) -> Option<Place> {
+        let roots = self.desks[desk as usize].roots.iter().enumerate();
+        roots
+            .filter_map(|(lane, root)| self.arena.first_with_room(*root, &self.frontiers[lane]))
+            .map(|f| f.0)
+            .min()
+    }
+
+    /// The first of a member in a lane that may have room: of its desks under budget, else of those over it.
+    fn first_of(&self, member: u32, lane: Lane) -> Option<Place> {
+        let (ranks, frontier) = (&self.members[member as usize].ranks[lane], &self.frontiers[lane]);
+        if frontier.closed() {
+            return None;
+        }
+        let first = |desk: u32| {
+            self.arena.first_with_room(self.desks[desk as usize].roots[lane], frontier).map(|found| found.0)
+        };
+        let mut best: Option<Place> = None;
+        for (place, desk) in ranks.under.iter().take(LOOK) {
+            if best.is_some_and(|best| best <= *place) {
+                break;
+            }
+            best = [best, first(*desk)].into_iter().flatten().min();
+        }
+        best.or_else(|| ranks.over.iter().take(LOOK).find_map(|(_, desk)| first(*desk)))
+    }
+
+    /// The module has no room for it now. `useful_until`: its word anew.
+    pub fn refused(&mut self, id: StatementId, useful_until: Moment) {
+        let Some(waiter) = self.waiting.get_mut(&id) else { return };
+        let old = std::mem::replace(&mut waiter.useful_until, useful_until);
+        let Waiter { lane, need, key, in_line, .. } = *waiter;
+        self.useful.remove(&(old, id));
+        self.useful.insert((useful_until, id));
+        if !in_line {
+            return;
+        }
+        // A keyed one may only have to wait for its turn, which says nothing of room.
+        if key.is_none() {
+            self.frontiers[lane].refused(need);
+        } else {
+            self.out_of_line(id);
+            self.parked.push(id);
+        }
+    }
+
+    /// It goes to an engine: its wait is over, and its team pays.
+    pub fn released(&mut self, now: Moment, id: StatementId, charge: f64) -> Option<Wait> {
+        self.now = now;
+        let waiter = self.take_out(id)?;
+        let product = waiter.lane / 2;
+        let real = now - waiter.entered;
+        self.records[product].was(waiter.raw, real);
+        if real > Span::ZERO {
+            let Desk { paces, pace, .. } = &mut self.desks[waiter.desk as usize];
+            for pace in [&mut paces[product], pace, &mut self.whole] {
+                pace.released(now, self.cores, waiter.need.cpu);
+            }
+        }
+        if let Some(passed) = self.desks[waiter.desk as usize].passed_since {
+            self.passed.remove(&(passed, waiter.desk));
+            self.passed.insert((now, waiter.desk));
+            self.desks[waiter.desk as usize].passed_since = Some(now);
+        }
+        self.pay(now, id, waiter.desk, charge);
+        Some(Wait { product: ProductId(product), desk: DeskId(waiter.desk), told: waiter.told, real })
+    }
+
+    fn pay(&mut self, now: Moment, id: StatementId, desk: u32, cpu: f64) {
+        let of = &mut self.desks[desk as usize];
+        let member = of.member;
+        let holder = &mut self.members[member as usize];
+        let lent = (holder.account.lent(), of.account.lent());
+        let by = (holder.account.pay(now, cpu), of.account.pay(now, cpu));
+        if by.0 == Paid::Lent {
+            self.lent_now = self.lent_now.max(lent.0);
+        }
+        if by.1 == Paid::Lent {
+            holder.lent_now = holder.lent_now.max(lent.1);
+        }
+        self.charges.insert(id, Charge { desk, member, by, cpu });
+        self.show_desk(desk);
+        self.show_member(member);
+    }
+
+    /// One more relay of a statement that was released before: its team pays for that too.
+    pub fn repeated(&mut self, now: Moment, id: StatementId, cpu: f64) {
+        self.now = now;
+        if let Some(charge) = self.charges.remove(&id) {
+            self.pay(now, id, charge.desk, cpu);
+        }
+    }
+
+    /// What a relay came to: `Some` CPU seconds where told, zero where it is known not to have run.
+    pub fn came_to(&mut self, now: Moment, id: StatementId, cpu: Option<f64>) {
+        self.now = now;
+        let (Some(charge), Some(cpu)) = (self.charges.get_mut(&id), cpu) else { return };
+        let more = cpu - std::mem::replace(&mut charge.cpu, cpu);
+        let charge = *charge;
+        self.members[charge.member as usize].account.correct(now, charge.by.0, more);
+        self.desks[charge.desk as usize].account.correct(now, charge.by.1, more);
+        self.show_desk(charge.desk);
+        self.show_member(charge.member);
+    }
+
+    /// Nothing more comes of it.
+    pub fn over(&mut self, id: StatementId) {
+        self.charges.remove(&id);
+    }
+
+    /// Denied, or its client left: out of line. False: it did not wait.
+    pub fn left(&mut self, now: Moment, id: StatementId) -> bool {
+        self.now = now;
+        self.take_out(id).is_some()
+    }
+
+    /// Those whose use has ended: the module is to be asked about them once more.
+    pub fn past(&self, now: Moment) -> Vec<StatementId> {
+        self.useful.iter().take_while(|(at, _)| *at <= now).map(|(_, id)| *id).collect()
+    }
+
+    /// The gateway ends: nothing waits up to then without being asked about once more.
+    pub fn answer_by(&mut self, by: Moment) {
+        let by = by + Span::from_secs(-0.05);
+        self.useful.clear();
+        for (id, waiter) in &mut self.waiting {
+            waiter.useful_until = waiter.useful_until.min(by);
+            self.useful.insert((waiter.useful_until, *id));
+        }
+    }
+
+    pub fn waited(&self, now: Moment, id: StatementId) -> Option<Span> {
+        self.waiting.get(&id).map(|waiter| now - waiter.entered)
+    }
+
+    fn line_up(&mut self, id: StatementId) {
+        let Some(waiter) = self.waiting.get_mut(&id) else { return };
+        waiter.in_line = true;
+        let Waiter { desk, lane, place, need, .. } = *waiter;
+        let (now, cores) = (self.now, self.cores);
+        let of = &mut self.desks[desk as usize];
+        let first = of.count == 0;
+        if of.roots[lane].is_empty() && of.roots[lane ^ 1].is_empty() {
+            of.paces[lane / 2].waits(now, cores, true);
+        }
+        self.arena.insert(&mut of.roots[lane], place, need);
+        let old = bits(of.cpu / owed(of));
+        (of.count, of.cpu) = (of.count + 1, of.cpu + need.cpu);
+        if first {
+            of.pace.waits(now, cores, true);
+            of.passed_since = Some(now);
+            self.passed.insert((now, desk));
+            let member = &mut self.members[of.member as usize];
+            of.account.join(member.lent_now);
+            if member.waiting == 0 {
+                member.account.join(self.lent_now);
+            }
+            member.waiting += 1;
+        } else {
+            self.heavy.remove(&(old, desk));
+        }
+        self.heavy.insert((bits(of.cpu / owed(of)), desk));
+        if self.count == 0 {
+            self.whole.waits(now, cores, true);
+        }
+        (self.count, self.cpu) = (self.count + 1, self.cpu + need.cpu);
+        self.show_desk(desk);
+    }
+
+    fn out_of_line(&mut self, id: StatementId) {
+        let Some(waiter) = self.waiting.get_mut(&id).filter(|waiter| waiter.in_line) else { return };
+        waiter.in_line = false;
+        let Waiter { desk, lane, place, need, .. } = *waiter;
+        let (now, cores) = (self.now, self.cores);
+        let of = &mut self.desks[desk as usize];
+        self.arena.remove(&mut of.roots[lane], place);
+        self.heavy.remove(&(bits(of.cpu / owed(of)), desk));
+        (of.count, of.cpu) = (of.count - 1, (of.cpu - need.cpu).max(0.0));
+        if of.roots[lane].is_empty() && of.roots[lane ^ 1].is_empty() {
+            of.paces[lane / 2].waits(now, cores, false);
+        }
+        if of.count == 0 {
+            // Sums of floats leave a rest.
+            of.cpu = 0.0;
+            of.pace.waits(now, cores, false);
+            if let Some(since) = of.passed_since.take() {
+                self.passed.remove(&(since, desk));
+            }
+            self.members[of.member as usize].waiting -= 1;
+        } else {
+            self.heavy.insert((bits(of.cpu / owed(of)), desk));
+        }
+        (self.count, self.cpu) = (self.count - 1, (self.cpu - need.cpu).max(0.0));
+        if self.count == 0 {
+            self.cpu = 0.0;
+            self.whole.waits(now, cores, false);
+        }
+        self.show_desk(desk);
+    }
+
+    fn take_out(&mut self, id: StatementId) -> Option<Waiter> {
+        self.out_of_line(id);
+        let waiter = self.waiting.remove(&id)?;
+        self.useful.remove(&(waiter.useful_until, id));
+        if let Some(key) = waiter.key
+            && let Some(line) = self.keys.get_mut(&key)
+        {
+            line.retain(|other| *other != id);
+            match line.front().copied() {
+                None => drop(self.keys.remove(&key)),
+                Some(first) if self.waiting.get(&first).is_some_and(|next| !next.in_line) => {
+                    if !self.parked.contains(&first) {
+                        self.line_up(first);
+                    }
+                }
+                Some(_) => {}
+            }
+        }
+        Some(waiter)
+    }
+
+    /// Puts a desk where it now belongs among its member's, and the member among all.
+    fn show_desk(&mut self, at: u32) {
+        let desk = &mut self.desks[at as usize];
+        let under = desk.account.under(self.now);
+        let lent = bits(desk.account.lent());
+        let member = &mut self.members[desk.member as usize];
+        for lane in 0..desk.roots.len() {
+            let first = self.arena.first(desk.roots[lane]);
+            let shown = first.map(|(place, _)| if under { Shown::Under(place) } else { Shown::Over(lent) });
+            member.ranks[lane].change(at, &mut desk.shown[lane], shown);
+        }
+        let refill = if under || desk.count == 0 { None } else { desk.account.under_at(self.now) };
+        let of = desk.member;
+        self.refill(Team::Desk(at), refill);
+        self.show_member(of);
+    }
+
+    fn show_member(&mut self, at: u32) {
+        let member = &mut self.members[at as usize];
+        let under = member.account.under(self.now);
+        let lent = bits(member.account.lent());
+        for lane in 0..member.ranks.len() {
+            let first = member.ranks[lane].first().map(|desk| self.desks[desk as usize].roots[lane]);
+            let first = first.and_then(|root| self.arena.first(root));
+            let shown = first.map(|(place, _)| if under { Shown::Under(place) } else { Shown::Over(lent) });
+            self.root[lane].change(at, &mut member.shown[lane], shown);
+        }
+        let refill = if under || member.waiting == 0 { None } else { member.account.under_at(self.now) };
+        self.refill(Team::Member(at), refill);
+    }
+
+    fn refill(&mut self, team: Team, at: Option<Moment>) {
+        let old = self.refill_at.get(&team).copied();
+        if old == at {
+            return;
+        }
+        if let Some(old) = old {
+            self.refills.remove(&(old, team));
+        }
+        match at {
+            Some(at) => {
+                self.refills.insert((at, team));
+                self.refill_at.insert(team, at);
+            }
+            None => drop(self.refill_at.remove(&team)),
+        }
+    }
+
+    /// Seconds until a statement at this place would leave, by the work ahead of it and how fast such work leaves.
+    fn raw(&mut self, desk: u32, lane: Lane, place: Place, need: Need) -> f64 {
+        let (now, cores, product) = (self.now, self.cores, lane / 2);
+        let of = &self.desks[desk as usize];
+        let ahead = [lane, lane ^ 1].map(|lane| self.arena.ahead(of.roots[lane], place).1);
+        let ahead: f64 = ahead.into_iter().sum();
+        let nothing = of.roots[lane].is_empty() && of.roots[lane ^ 1].is_empty();
+        if nothing && self.frontiers[lane].may_have_room(need) {
+            return 0.0;
+        }
+        let of = &mut self.desks[desk as usize];
+        // At a desk where nothing waited of late, its part of what all get is the best word there is.
+        let part = of.account.claim().budget
+            / self.terms.members.iter().map(|m| m.claim.budget).sum::<f64>().max(1e-9);
+        let own = of.paces[product].rate(now, cores).or_else(|| of.pace.rate(now, cores));
+        let rate = own.or_else(|| Some(self.whole.rate(now, cores)? * part.clamp(0.01, 1.0)));
+        rate.map_or(0.0, |rate| (ahead + 0.5 * need.cpu) / rate.max(1e-3)).min(3600.0)
+    }
+
+    fn back(&mut self, waiter: &Waiter) -> Span {
+        let raw = self.raw(waiter.desk, waiter.lane, waiter.place, waiter.need);
+        self.records[waiter.lane / 2].tell(raw).wait
+    }
+
+    /// The wait still before a statement.
+    pub fn estimate(&mut self, now: Moment, id: StatementId) -> Option<Estimate> {
+        self.now = now;
+        let waiter = *self.waiting.get(&id)?;
+        let raw = self.raw(waiter.desk, waiter.lane, waiter.place, waiter.need);
+        Some(self.records[waiter.lane / 2].tell(raw))
+    }
+
+    pub fn statement(&mut self, now: Moment, id: StatementId) -> Option<StatementStatus> {
+        let left = self.estimate(now, id)?;
+        let waiter = self.waiting.get(&id)?;
+        let desk = &self.desks[waiter.desk as usize];
+        let lanes = [waiter.lane, waiter.lane ^ 1];
+        Some(StatementStatus {
+            member: self.members[desk.member as usize].name.clone(),
+            desk: desk.name.clone(),
+            ahead: lanes.iter().map(|lane| self.arena.ahead(desk.roots[*lane], waiter.place).0).sum(),
+            waited: now - waiter.entered,
+            left,
+        })
+    }
+
+    /// Every desk where something waits, then as many of the others as `most` allows.
+    pub fn status(&mut self, now: Moment, most: usize) -> Vec<DeskStatus> {
+        self.now = now;
+        let busy: Vec<u32> = self.heavy.iter().rev().map(|(_, desk)| *desk).take(most).collect();
+        let idle = (0..self.desks.len() as u32).filter(|desk| self.desks[*desk as usize].count == 0);
+        let mut shown: Vec<u32> = idle.take(most - busy.len()).chain(busy).collect();
+        shown.sort_unstable();
+        shown.into_iter().map(|desk| self.desk_status(now, desk)).collect()
+    }
+
+    fn desk_status(&mut self, now: Moment, at: u32) -> DeskStatus {
+        let last = Place { by: now + Span::from_secs(3e9), id: StatementId(u64::MAX), over_allowance: true };
+        let mut next = Vec::new();
+        for product in 0..self.products {
+            let need = Need { cpu: self.usual[product], memory_mb: 0.0 };
+            let raw = self.raw(at, product * 2, last, need);
+            next.push(self.records[product].tell(raw));
+        }
+        let cores = self.cores;
+        let desk = &mut self.desks[at as usize];
+        desk.account.under(now);
+        let oldest =
+            desk.roots.iter().filter_map(|root| self.arena.first(*root)).map(|first| first.0.id).min();
+        let oldest = oldest.and_then(|id| self.waiting.get(&id));
+        DeskStatus {
+            member: self.members[desk.member as usize].name.clone(),
+            desk: desk.name.clone(),
+            waiting: desk.count,
+            cpu: desk.cpu,
+            budget: desk.account.claim().budget,
+            rate: desk.pace.rate(now, cores),
+            saved: desk.account.level(),
+            longest: oldest.map_or(Span::ZERO, |waiter| now - waiter.entered),
+            next,
+        }
+    }
+
+    /// How long the first of the longest passed over desk has stood.
+    pub fn longest_passed(&self, now: Moment) -> Span {
+        self.passed.first().map_or(Span::ZERO, |(since, _)| now - *since)
+    }
+
+    /// Other terms, with all that waits: at the desk of the same names, else at its member's default one, else at the
+    /// first member's. Accounts of teams that stay keep what they have used.
+    pub fn change(&mut self, now: Moment, terms: Terms) {
+        self.round(now, self.cores);
+        let mut waiting: Vec<(StatementId, Waiter)> = Vec::with_capacity(self.waiting.len());
+        let ids: Vec<StatementId> = self.waiting.keys().copied().collect();
+        let keys = std::mem::take(&mut self.keys);
+        for id in ids {
+            waiting.extend(self.take_out(id).map(|waiter| (id, waiter)));
+        }
+        let old_desks = std::mem::take(&mut self.desks);
+        let old_members = std::mem::take(&mut self.members);
+        (self.refills, self.refill_at) = (BTreeSet::new(), BTreeMap::new());
+        (self.passed, self.heavy) = (BTreeSet::new(), BTreeSet::new());
+        self.root = vec![Ranks::default(); self.products * 2];
+        self.terms = terms;
+        self.lay_out();
+        let burst = self.terms.burst;
+        let by_name: BTreeMap<&str, u32> =
+            self.members.iter().enumerate().map(|(at, member)| (member.name.as_str(), at as u32)).collect();
+        let member_now: Vec<Option<u32>> =
+            old_members.iter().map(|old| by_name.get(old.name.as_str()).copied()).collect();
+        let same = |name: &str, desk: &u32| self.desks[*desk as usize].name == name;
+        let desk_now: Vec<(u32, bool)> = old_desks
+            .iter()
+            .map(|old| {
+                let member = &self.members[member_now[old.member as usize].unwrap_or(0) as usize];
+                let kept = member.desks.iter().copied().find(|desk| same(&old.name, desk));
+                let kept = kept.filter(|_| member_now[old.member as usize].is_some());
+                (kept.unwrap_or(member.desks[0]), kept.is_some())
+            })
+            .collect();
+        for (old, now_at) in old_members.iter().zip(&member_now) {
+            let Some(member) = now_at.map(|at| &mut self.members[at as usize]) else { continue };
+            let claim = member.account.claim();
+            member.account = old.account.clone();
+            member.account.change(now, claim, burst);
+            member.lent_now = old.lent_now;
+        }
+        for (old, (at, _)) in old_desks.into_iter().zip(&desk_now).filter(|(_, (_, kept))| *kept) {
+            let desk = &mut self.desks[*at as usize];
+            let claim = desk.account.claim();
+            (desk.account, desk.paces, desk.pace) = (old.account, old.paces, old.pace);
+            desk.account.change(now, claim, burst);
+        }
+        for charge in self.charges.values_mut() {
+            charge.desk = desk_now[charge.desk as usize].0;
+            charge.member = self.desks[charge.desk as usize].member;
+        }
+        self.keys = keys;
+        for (id, waiter) in waiting {
+            let desk = desk_now[waiter.desk as usize].0;
+            self.useful.insert((waiter.useful_until, id));
+            self.waiting.insert(id, Waiter { desk, in_line: false, ..waiter });
+            let first = waiter.key.is_none_or(|key| self.keys[&key].front() == Some(&id));
+            if first {
+                self.line_up(id);
+            }
+        }
+    }
+
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
+    pub fn member_of(&self, desk: DeskId) -> Option<MemberId> {
+        self.desks.get(desk.0 as usize).map(|desk| MemberId(desk.member))
+    }
+}
+
+/// What a desk's waiting work is weighed by: nothing owed is not nothing, or one such desk would always weigh most.
+fn owed(desk: &Desk) -> f64 {
+    desk.account.claim().budget.max(0.01)
+}
