--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -403,10 +403,16 @@
         Answer::Deny { come_back: come_back.map(|longest| back.max(Span::from_secs(0.02)).min(longest)) }
     }
 
-    /// Cores of the engines in use, as this gateway's share of what they can do now.
+    /// Cores of the engines in use, as this gateway's share of what they can do now; most benched, all are in use.
     pub fn capacity(&self, now: Moment) -> f64 {
-        let used = |e: &&Engine| e.fact.stage == Stage::Ready && e.health.benched_until.is_none();
-        self.engines.values().filter(used).map(|e| e.books.cores * warmth(self.cold, e, now)).sum()
+        let ready = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
+        let (mut all, mut fit) = ((0, 0.0), (0, 0.0));
+        for e in ready {
+            let cores = e.books.cores * warmth(self.cold, e, now);
+            all = (all.0 + 1, all.1 + cores);
+            fit = if e.health.benched_until.is_none() { (fit.0 + 1, fit.1 + cores) } else { fit };
+        }
+        if fit.0 * 2 < all.0 { all.1 } else { fit.1 }
     }
 
     pub fn after(&mut self, now: Moment, s: &Statement, o: &Outcome) -> After {
--- a/crates/queues/src/lines.rs
+++ b/crates/queues/src/lines.rs
@@ -12,6 +12,8 @@
 
 /// How many teams are looked at behind the first when the first has only what there is no room for.
 const LOOK: usize = 64;
+/// CPU seconds that a core is taken to give a second until something was seen to be released.
+const LIKELY: f64 = 0.7;
 /// Statements that one may displace: it needs their room in CPU seconds.
 const DISPLACED: usize = 16;
 
@@ -56,6 +58,8 @@
     entered: Moment,
     useful_until: Moment,
     raw: f64,
+    /// The estimate stood on what was seen at its desk, and so counts for the next ones.
+    seen: bool,
     told: Span,
     key: Option<OrderKey>,
     /// It stands in its desk's line; else an earlier one of its key does, or it is passed by for this round.
@@ -339,8 +343,10 @@
         let raw = self.raw(desk, lane, entry.place, entry.need);
         let told = self.records[entry.product.0].tell(raw);
         let useful = (entry.useful_until - now).secs();
-        // Of one whose key's turn has to come first nothing is known; it waits.
-        if entry.key.is_none() && told.wait.secs() > useful.max(0.0) && told.wait.secs() > 0.05 {
+        // Only what was seen here denies, not what is likely; and of one whose key's turn has to come first nothing is
+        // known.
+        let seen = self.desks[desk as usize].paces[entry.product.0].known(now, self.cores).is_some();
+        if seen && entry.key.is_none() && told.wait.secs() > useful.max(0.05) {
             let back = Span::from_secs(told.wait.secs() - useful.max(0.0));
             return Entering { entered: Entered::TurnedAway { back }, displaced: Vec::new() };
         }
@@ -358,6 +364,7 @@
                 entered: now,
                 useful_until: entry.useful_until,
                 raw,
+                seen,
                 told: told.wait,
                 key: entry.key,
                 in_line: false,
@@ -501,7 +508,9 @@
         let waiter = self.take_out(id)?;
         let product = waiter.lane / 2;
         let real = now - waiter.entered;
-        self.records[product].was(waiter.raw, real);
+        if waiter.seen || waiter.raw == 0.0 {
+            self.records[product].was(waiter.raw, real);
+        }
         if real > Span::ZERO {
             let Desk { paces, pace, .. } = &mut self.desks[waiter.desk as usize];
             for pace in [&mut paces[product], pace, &mut self.whole] {
@@ -732,9 +741,10 @@
         // At a desk where nothing waited of late, its part of what all get is the best word there is.
         let part = of.account.claim().budget
             / self.terms.members.iter().map(|m| m.claim.budget).sum::<f64>().max(1e-9);
-        let own = of.paces[product].rate(now, cores).or_else(|| of.pace.rate(now, cores));
-        let rate = own.or_else(|| Some(self.whole.rate(now, cores)? * part.clamp(0.01, 1.0)));
-        rate.map_or(0.0, |rate| (ahead + 0.5 * need.cpu) / rate.max(1e-3)).min(3600.0)
+        let all = self.whole.rate(now, cores, cores * LIKELY);
+        let desk = of.pace.rate(now, cores, all * part.clamp(0.01, 1.0));
+        let rate = of.paces[product].rate(now, cores, desk);
+        ((ahead + 0.5 * need.cpu) / rate.max(1e-3)).min(3600.0)
     }
 
     fn back(&mut self, waiter: &Waiter) -> Span {
@@ -794,7 +804,7 @@
             waiting: desk.count,
             cpu: desk.cpu,
             budget: desk.account.claim().budget,
-            rate: desk.pace.rate(now, cores),
+            rate: desk.pace.known(now, cores),
             saved: desk.account.level(),
             longest: oldest.map_or(Span::ZERO, |waiter| now - waiter.entered),
             next,
--- a/crates/queues/src/pace.rs
+++ b/crates/queues/src/pace.rs
@@ -15,8 +15,8 @@
 impl Pace {
     /// Older releases tell of other traffic; shorter, and single large statements would make it jump.
     const MEMORY_S: f64 = 2.0;
-    /// Seconds of waiting before it says anything.
-    const ENOUGH_S: f64 = 0.15;
+    /// Seconds of waiting that weigh as much as what is likely without them.
+    const SOME_S: f64 = 0.3;
 
     pub fn new(now: Moment) -> Self {
         Pace { released: 0.0, core_s: 0.0, at: now, waiting: false }
@@ -48,10 +48,18 @@
         self.released += cpu;
     }
 
-    /// CPU seconds a second at this capacity.
-    pub fn rate(&mut self, now: Moment, cores: f64) -> Option<f64> {
+    /// CPU seconds a second at this capacity. `else_rate`: what is likely while little was seen here; without it one
+    /// large statement that waits for its room would read as a line that never moves.
+    pub fn rate(&mut self, now: Moment, cores: f64, else_rate: f64) -> f64 {
         self.advance(now, cores);
-        let known = self.core_s >= Self::ENOUGH_S * cores.max(1e-3);
+        let (seen, some) = (self.core_s, Self::SOME_S * cores.max(1e-3));
+        ((self.released + else_rate * Self::SOME_S) / (seen + some) * cores).max(0.0)
+    }
+
+    /// As `rate`, where enough was seen to tell.
+    pub fn known(&mut self, now: Moment, cores: f64) -> Option<f64> {
+        self.advance(now, cores);
+        let known = self.core_s >= Self::SOME_S * cores.max(1e-3);
         known.then(|| self.released / self.core_s.max(1e-9) * cores)
     }
 }
