--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -242,6 +242,8 @@
     /// Predicted CPU: estimate x k.
     pub cpu: Span,
     pub memory_mb: f64,
+    /// Sent later than this, its answer comes after its quoted time, by the best that engines did.
+    pub full_until: Moment,
     /// Sent later than this, its answer is of no use.
     pub useful_until: Moment,
 }
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -364,7 +364,7 @@
         }
         let product = &self.products[s.product.0];
         let (predicted, left) = (self.costs.predict(s), (s.hard_limit - now).secs());
-        let spare = self.spare(now, s, predicted);
+        let (_, spare) = self.spare(now, s, predicted);
         let hopeless = left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || spare < 0.0;
         let (hold, turn) = (product.hard_limit.secs() * HOLD, self.in_turn(now, s));
         if hopeless || !s.relays.is_empty() && !self.may_relay_again(now) {
@@ -378,23 +378,25 @@
         if (turn && held >= hold) || left < 0.05 { self.give_up(now, s) } else { Answer::NotYet(place) }
     }
 
-    /// How much longer it may wait. An answer that comes when it earns nothing only takes cores from those that
-    /// still can.
-    fn spare(&self, now: Moment, s: &Statement, predicted: f64) -> f64 {
+    /// How much longer it may wait for its quoted time, and to be of use at all. An answer that comes when it earns
+    /// nothing only takes cores from those that still can.
+    fn spare(&self, now: Moment, s: &Statement, predicted: f64) -> (f64, f64) {
         let (product, left) = (&self.products[s.product.0], (s.hard_limit - now).secs());
         let best = median(self.engines.values().filter_map(|e| e.books.lag.best).collect()).unwrap_or(1.0);
         let alone = predicted / product.threads * best;
-        let quoted_left = quoted(product, predicted) - (now - s.taken).secs();
-        let useful = if product.late_gain > 0.0 { left } else { left.min(quoted_left) };
-        useful - alone * 0.5
+        let quoted_left = left.min(quoted(product, predicted) - (now - s.taken).secs());
+        let useful = if product.late_gain > 0.0 { left } else { quoted_left };
+        let expected = predicted / product.threads * self.whole.lag.now().unwrap_or(best).max(best);
+        (quoted_left - expected, useful - alone * 0.5)
     }
 
     /// What it would take, and how long it may wait for that: for a queue ahead. Nothing changes by asking.
     pub fn forecast(&self, now: Moment, s: &Statement) -> Forecast {
         let predicted = self.costs.predict(s);
-        let spare = self.spare(now, s, predicted).min((s.hard_limit - now).secs() - 0.05);
-        let useful_until = now + Span::from_secs(spare);
-        Forecast { cpu: Span::from_secs(predicted), memory_mb: self.need_mb(s), useful_until }
+        let (full, useful) = self.spare(now, s, predicted);
+        let useful = useful.min((s.hard_limit - now).secs() - 0.05);
+        let [full_until, useful_until] = [full.min(useful), useful].map(|left| now + Span::from_secs(left));
+        Forecast { cpu: Span::from_secs(predicted), memory_mb: self.need_mb(s), full_until, useful_until }
     }
 
     /// A queue ahead has no room for it, or would hold it too long: denied as ever, with when to come back.
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,176 @@
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use lab::front::Policy;
+use lab::play::{Outcome, Play};
+use lab::scenario::Scenario;
+
+/// Emulates a deployment in simulated time, around the real decisions.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a scenario once.
+    Run {
+        file: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// queues, one-line or round-robin.
+        #[arg(long, default_value = "queues")]
+        policy: String,
+        /// Writes the figures there.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Writes each wait there, as told and as it was, in lines of comma-separated values.
+        #[arg(long)]
+        waits: Option<PathBuf>,
+        /// Draws waits, estimates and members into this folder, as SVG.
+        #[arg(long)]
+        plot: Option<PathBuf>,
+    },
+    /// Plays it with a field set to each of some values.
+    Sweep {
+        file: PathBuf,
+        /// As `traffic.valley-water.counter.per_s.lookup=40,80`.
+        #[arg(long)]
+        over: String,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Plays it with two policies, over some seeds.
+    Compare {
+        file: PathBuf,
+        first: String,
+        second: String,
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
+}
+
+fn policy(name: &str) -> Result<Policy, String> {
+    Policy::named(name).ok_or_else(|| format!("no policy {name}: queues, one-line or round-robin"))
+}
+
+fn play(scenario: &Scenario, policy: Policy, seed: u64) -> Result<Outcome, String> {
+    Ok(Play::new(scenario, policy, seed)?.run())
+}
+
+const HEAD: &str = "policy       seed broken statements service est<20% est<20%w last mean ahead  p90  worst/fair passed ms  denied at once";
+
+fn line(outcome: &Outcome) -> String {
+    let f = &outcome.figures;
+    format!(
+        "{:<12} {:>4} {:>6} {:>10} {:>7.4} {:>7.3} {:>8.3} {:.2} {:.2} {:.2} {:.3} {:>10.3} {:>9.0} {:>7} {:>7}",
+        f.policy,
+        f.seed,
+        f.rules_broken,
+        f.statements,
+        f.service,
+        f.estimate_within_20,
+        f.estimate_within_20_waiting,
+        f.last_wait_within_20,
+        f.mean_wait_within_20,
+        f.count_ahead_within_20,
+        f.within_p90,
+        f.worst_member_of_fair,
+        f.longest_passed_over_ms,
+        f.denied,
+        f.denied_at_once
+    )
+}
+
+fn print(outcome: &Outcome) {
+    println!("{HEAD}\n{}", line(outcome));
+    for (name, m) in &outcome.figures.members {
+        println!(
+            "  {name:<14} budget {:>6.2}  asked {:>7} ({:.2} cpu/s)  in time {:>7} ({:.2} cpu/s)  service {:.4}  worst of fair {:.3}",
+            m.budget, m.asked, m.cpu_asked, m.served_in_time, m.cpu_served, m.service, m.worst_of_fair
+        );
+    }
+    for (name, p) in &outcome.figures.products {
+        println!(
+            "  {name:<14} asked {:>7}  in time {:.4}  before p50 {:.0} p90 {:.0} ms  running p50 {:.0} p90 {:.0} ms",
+            p.asked, p.share_in_time, p.before.p50_ms, p.before.p90_ms, p.running.p50_ms, p.running.p90_ms
+        );
+    }
+    outcome.figures.rules.iter().for_each(|(rule, count)| println!("  broken {count} times: {rule}"));
+    eprintln!("{:.1} s took {:.2} s", outcome.figures.simulated_s, outcome.took_s);
+}
+
+fn run() -> Result<bool, Box<dyn std::error::Error>> {
+    let kept = |outcome: &Outcome| outcome.figures.rules_broken == 0;
+    match Arguments::parse().command {
+        Command::Run { file, seed, policy: name, json, waits, plot } => {
+            let scenario = Scenario::read(&file)?;
+            let outcome = play(&scenario, policy(&name)?, seed)?;
+            print(&outcome);
+            if let Some(json) = json {
+                std::fs::write(json, serde_json::to_string_pretty(&outcome.figures)? + "\n")?;
+            }
+            if let Some(path) = waits {
+                let line = |t: &lab::figures::Told| {
+                    format!(
+                        "{:.6},{},{},{},{:.6},{:.6},{:.6}\n",
+                        t.at, t.gateway, t.desk, t.product, t.told, t.p90, t.real
+                    )
+                };
+                let head = "at_s,gateway,desk,product,told_s,p90_s,real_s\n".to_owned();
+                std::fs::write(path, head + &outcome.told.iter().map(line).collect::<String>())?;
+            }
+            if let Some(folder) = plot {
+                lab::plot::draw(&outcome, &folder)?;
+            }
+            Ok(kept(&outcome))
+        }
+        Command::Sweep { file, over, seed } => {
+            let (path, values) = over.split_once('=').ok_or("--over wants FIELD=A,B,C")?;
+            let text = read(&file)?;
+            let mut all = true;
+            println!("{path:<20} {HEAD}");
+            for value in values.split(',') {
+                let scenario = Scenario::with(&text, path, value.trim().parse()?)?;
+                let outcome = play(&scenario, Policy::Queues, seed)?;
+                println!("{value:<20} {}", line(&outcome));
+                all &= kept(&outcome);
+            }
+            Ok(all)
+        }
+        Command::Compare { file, first, second, seeds } => {
+            let scenario = Scenario::read(&file)?;
+            let mut all = true;
+            println!("{HEAD}");
+            for seed in 1..=seeds {
+                for name in [&first, &second] {
+                    let outcome = play(&scenario, policy(name)?, seed)?;
+                    println!("{}", line(&outcome));
+                    all &= kept(&outcome);
+                }
+            }
+            Ok(all)
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<String, String> {
+    std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => {
+            eprintln!("laurelhitch-lab: a rule was broken");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("laurelhitch-lab: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/play.rs
@@ -0,0 +1,731 @@
+//! One run: events in the order of simulated time, a world of engines and clients, and the real decisions in the
+//! middle.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use admission::interface::*;
+use admission::policy::Policy as Module;
+use dispatch::{Dispatch, Order, Pick, Verdict, Wants};
+use queues::{Belongs, DeskId, Directory};
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, StandardNormal};
+use rand_pcg::Pcg64Mcg;
+
+use crate::engine::{Engine, Run, State};
+use crate::figures::{self, Figures, Told, ratio, well};
+use crate::front::{Front, Policy};
+use crate::rules::{self, Rules, Seen};
+use crate::scenario::{Kind, Scenario, Trouble};
+
+/// How soon an engine that fails all says so.
+const FAILS_S: f64 = 0.005;
+/// Of the emulated deployment: relays of a statement at most, the longest time to come back, grace after a drain, and
+/// the ration of further relays.
+const RELAYS: usize = 6;
+const COME_BACK_S: f64 = 0.5;
+const DRAIN_GRACE_S: f64 = 0.25;
+const ANSWER_GRACE_S: f64 = 0.02;
+const RATION: (f64, f64, f64) = (20.0, 0.25, 10.0);
+/// Fairness is looked at over spans of this length.
+const SPAN_S: f64 = 5.0;
+/// "At once", of a denial.
+const AT_ONCE_S: f64 = 0.05;
+
+/// What a client wants, the same whatever stands before the decisions.
+#[derive(Clone, Debug)]
+struct Wish {
+    at: f64,
+    member: usize,
+    desk: DeskId,
+    product: usize,
+    gateway: usize,
+    cpu: f64,
+    estimate: f64,
+    group: u32,
+    key: Option<u64>,
+    tries: u32,
+    ends: f64,
+    done: bool,
+}
+
+struct Statement {
+    wish: usize,
+    gateway: usize,
+    taken: f64,
+    out: Option<(usize, RelayNo, f64)>,
+    answered: bool,
+}
+
+struct Gateway {
+    front: Front,
+    delay: f64,
+    tick: f64,
+    turn: u64,
+    plain: BTreeMap<(u32, usize), Plain>,
+}
+
+/// Estimators to compare with, by desk and product.
+#[derive(Clone, Copy, Debug, Default)]
+struct Plain {
+    last: f64,
+    sum: f64,
+    count: f64,
+    released: f64,
+    between: f64,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Wish(usize),
+    Tick { gateway: usize, turn: u64 },
+    Engine { engine: usize, turn: u64 },
+    Note { engine: usize, statement: usize, relay: RelayNo },
+    Due { statement: usize, relay: RelayNo },
+    Fails { statement: usize, relay: RelayNo },
+    News { gateway: usize, engine: usize, stage: Stage, started: Option<f64> },
+    Begins(usize),
+    Ends(usize),
+}
+
+pub struct Play<'a> {
+    scenario: &'a Scenario,
+    names: Vec<&'a str>,
+    now: f64,
+    events: BinaryHeap<Reverse<(i64, u64, usize)>>,
+    pending: Vec<Event>,
+    free: Vec<usize>,
+    next: u64,
+    rng: Pcg64Mcg,
+    gateways: Vec<Gateway>,
+    engines: Vec<Engine>,
+    troubles: Vec<(Kind, Trouble)>,
+    wishes: Vec<Wish>,
+    statements: Vec<Statement>,
+    /// Those told an estimate and still waiting: what plain estimators said.
+    plain: BTreeMap<StatementId, [f64; 3]>,
+    rules: Rules,
+    figures: Figures,
+    told: Vec<Told>,
+    waits: Vec<f64>,
+    /// By product, of the completed: before sending and running.
+    took: Vec<(Vec<f64>, Vec<f64>)>,
+    longest_passed: f64,
+    /// By span and member: CPU asked and served.
+    spans: Vec<Vec<(f64, f64)>>,
+    members: Vec<String>,
+    claims: Vec<(f64, f64)>,
+    started: std::time::Instant,
+}
+
+/// What a run leaves.
+pub struct Outcome {
+    pub figures: Figures,
+    pub told: Vec<Told>,
+    /// By second: served in time and asked by member.
+    pub members: Vec<String>,
+    pub spans: Vec<Vec<(f64, f64)>>,
+    pub span_s: f64,
+    /// Real time it took; no figure, since no two runs have the same.
+    pub took_s: f64,
+}
+
+fn moment(secs: f64) -> Moment {
+    Moment::from_secs(secs)
+}
+
+fn module(scenario: &Scenario, seed: u64) -> Module {
+    let engines = &scenario.engines;
+    let product = |of: &crate::scenario::Product| Product {
+        effect: if of.unrepeatable { Effect::Unrepeatable } else { Effect::Idempotent },
+        gain: of.gain,
+        late_gain: of.late_gain,
+        quoted: Span::from_secs(of.quoted_ms / 1e3),
+        quoted_stretch: of.quoted_stretch,
+        hard_limit: Span::from_secs(of.hard_limit_ms / 1e3),
+        threads: of.threads,
+        in_turn: of.keys > 0,
+        locations: of.zone.map(|zone| vec![LocationId(zone)]),
+        machines: None,
+    };
+    let fleet = Fleet {
+        peers: scenario.gateways as f64,
+        cores: vec![engines.cores],
+        memory_mb: vec![engines.memory_mb],
+        note_pace: Some(Span::from_secs(engines.note_ms / 1e3)),
+        ranks_heeded: false,
+    };
+    let cold = ColdStart {
+        share: engines.cold_share,
+        warm_after: Span::from_secs(engines.cold_s),
+        multiple: engines.tip_multiple,
+        window: Span::from_secs(engines.tip_s),
+    };
+    let (free, share, window) = RATION;
+    let relaying = Relaying {
+        most: RELAYS,
+        cancel: false,
+        come_back: Some(Span::from_secs(COME_BACK_S)),
+        settle: Span::from_secs(0.5),
+        ration: Some(Ration { free, share, window: Span::from_secs(window) }),
+    };
+    let listing = Listing { on_request: false, ask_within: Span::from_secs(10.0) };
+    let products = scenario.product.values().map(product).collect();
+    Module::new(seed, products, Tenancy::default(), fleet, Some(cold), relaying, listing)
+}
+
+/// The day's wishes, drawn before anything is decided, so that every policy meets the same.
+fn wishes(scenario: &Scenario, directory: Option<&Directory>, seed: u64) -> Result<Vec<Wish>, String> {
+    let products: Vec<_> = scenario.product.iter().collect();
+    let floods: Vec<_> = scenario.troubles()?.into_iter().filter(|(kind, _)| *kind == Kind::Flood).collect();
+    let (mut wishes, mut stream) = (Vec::new(), 0);
+    let mut number = 0;
+    for (member, (name, desks)) in scenario.traffic.iter().enumerate() {
+        for (desk_name, traffic) in desks {
+            let found = directory.map(|of| of.find(Some(name), Some(desk_name), None));
+            let desk = found.unwrap_or(Belongs { desk: DeskId(number), known: true }).desk;
+            number += 1;
+            for (product, (product_name, of)) in products.iter().enumerate() {
+                stream += 1;
+                let mut rng = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(1_000_003).wrapping_add(stream));
+                let per_s = traffic.per_s.get(*product_name).copied().unwrap_or(0.0);
+                let matching = floods.iter().map(|(_, flood)| flood).filter(|flood| {
+                    flood.member.as_ref().is_none_or(|m| m == name)
+                        && flood.product.as_ref().is_none_or(|p| p == *product_name)
+                });
+                let matching: Vec<_> = matching.collect();
+                let most = matching.iter().fold(per_s, |most, flood| most.max(per_s * flood.times));
+                if most <= 0.0 {
+                    continue;
+                }
+                let mut at = 0.0;
+                loop {
+                    at += Exp::new(most).map_err(|e| e.to_string())?.sample(&mut rng);
+                    if at >= scenario.seconds {
+                        break;
+                    }
+                    let during = |flood: &&&Trouble| flood.at_s <= at && at < flood.at_s + flood.for_s;
+                    let rate = matching.iter().filter(during).fold(per_s, |rate, f| rate.max(per_s * f.times));
+                    let [cost, guess]: [f64; 2] = std::array::from_fn(|_| StandardNormal.sample(&mut rng));
+                    let spread = of.cpu_spread;
+                    let cpu = of.cpu_ms / 1e3 * (spread * cost - spread * spread / 2.0).exp();
+                    let group = rng.random_range(0..of.table_groups.max(1));
+                    // Estimates lie in one direction for each table group, as statistics do.
+                    let bias = [0.5, 1.0, 2.0][group as usize % 3] * of.estimate_times;
+                    let wish = Wish {
+                        at,
+                        member,
+                        desk,
+                        product,
+                        gateway: rng.random_range(0..scenario.gateways),
+                        cpu,
+                        estimate: cpu * bias * (of.estimate_spread * guess).exp(),
+                        group,
+                        key: (of.keys > 0).then(|| rng.random_range(0..of.keys.max(1))),
+                        tries: scenario.client_tries,
+                        ends: at + of.hard_limit_ms / 1e3,
+                        done: false,
+                    };
+                    // Thinned after all draws, so that the usual traffic is the same with and without a flood.
+                    if rng.random::<f64>() * most < rate {
+                        wishes.push(wish);
+                    }
+                }
+            }
+        }
+    }
+    wishes.sort_by(|a, b| a.at.total_cmp(&b.at));
+    Ok(wishes)
+}
+
+impl<'a> Play<'a> {
+    pub fn new(scenario: &'a Scenario, policy: Policy, seed: u64) -> Result<Self, String> {
+        let terms = scenario.terms()?;
+        let directory = terms.as_ref().map(Directory::new);
+        let wishes = wishes(scenario, directory.as_ref(), seed)?;
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5eed);
+        let count = scenario.gateways as f64;
+        // The file's budgets are of all gateways together.
+        let own = terms.as_ref().map(|terms| terms.part(1.0 / count));
+        let products = scenario.product.len();
+        let gateways = (0..scenario.gateways).map(|at| {
+            let seed = seed.wrapping_mul(7919).wrapping_add(at as u64);
+            let dispatch = Dispatch::new(module(scenario, seed));
+            let front = Front::new(policy, dispatch, own.as_ref(), products, seed);
+            let delay = scenario.list_delay_ms / 1e3 * rng.random_range(0.2..1.0);
+            Gateway { front, delay, tick: f64::INFINITY, turn: 0, plain: BTreeMap::new() }
+        });
+        let gateways: Vec<_> = gateways.collect();
+        let ration = Some(RATION);
+        let terms_of_rules =
+            rules::Terms { drain_grace_s: DRAIN_GRACE_S, answer_grace_s: ANSWER_GRACE_S, ration };
+        let members: Vec<String> = scenario.traffic.keys().cloned().collect();
+        let claim = |name: &String| {
+            let found = terms.as_ref().and_then(|t| t.members.iter().find(|m| m.name == *name));
+            found.map_or((0.0, 1.0), |member| (member.claim.budget, member.claim.weight))
+        };
+        let claims = members.iter().map(claim).collect();
+        let mut play = Play {
+            scenario,
+            names: scenario.product.keys().map(String::as_str).collect(),
+            now: 0.0,
+            events: BinaryHeap::new(),
+            pending: Vec::new(),
+            free: Vec::new(),
+            next: 0,
+            rng,
+            gateways,
+            engines: (0..scenario.engines.count).map(|_| Engine::new(scenario.engines.clone())).collect(),
+            troubles: scenario.troubles()?,
+            statements: Vec::new(),
+            plain: BTreeMap::new(),
+            rules: Rules::new(terms_of_rules, scenario.gateways),
+            figures: Figures { policy: policy.name().into(), seed, ..Figures::default() },
+            told: Vec::new(),
+            waits: Vec::new(),
+            took: vec![(Vec::new(), Vec::new()); products],
+            longest_passed: 0.0,
+            spans: Vec::new(),
+            members,
+            claims,
+            wishes,
+            started: std::time::Instant::now(),
+        };
+        for at in 0..play.wishes.len() {
+            play.at(play.wishes[at].at, Event::Wish(at));
+        }
+        for at in 0..play.troubles.len() {
+            let (begins, lasts) = (play.troubles[at].1.at_s, play.troubles[at].1.for_s);
+            play.at(begins, Event::Begins(at));
+            play.at(begins + lasts, Event::Ends(at));
+        }
+        let all: Vec<EngineFact> = (0..play.engines.len()).map(|at| play.fact(at, Stage::Ready, None)).collect();
+        for gateway in 0..play.gateways.len() {
+            play.gateways[gateway].front.told_list(moment(0.0), &ListNews::Whole(all.clone()));
+            play.wake(gateway, 0.0);
+        }
+        Ok(play)
+    }
+
+    fn fact(&self, engine: usize, stage: Stage, started: Option<f64>) -> EngineFact {
+        EngineFact {
+            id: EngineId(engine as u32),
+            scale: 1.0,
+            location: LocationId(self.zone(engine)),
+            machine: MachineId(0),
+            cell: CellId(0),
+            stage,
+            started: started.map(moment),
+        }
+    }
+
+    fn zone(&self, engine: usize) -> u16 {
+        engine as u16 % self.scenario.engines.zones.max(1)
+    }
+
+    fn at(&mut self, at: f64, event: Event) {
+        let slot = match self.free.pop() {
+            Some(slot) => {
+                self.pending[slot] = event;
+                slot
+            }
+            None => {
+                self.pending.push(event);
+                self.pending.len() - 1
+            }
+        };
+        self.next += 1;
+        self.events.push(Reverse(((at.max(self.now) * 1e6).round() as i64, self.next, slot)));
+    }
+
+    fn wake(&mut self, gateway: usize, at: f64) {
+        let of = &mut self.gateways[gateway];
+        if of.tick <= at {
+            return;
+        }
+        (of.tick, of.turn) = (at, of.turn + 1);
+        let turn = of.turn;
+        self.at(at, Event::Tick { gateway, turn });
+    }
+
+    pub fn run(mut self) -> Outcome {
+        let longest = self.scenario.product.values().fold(0.0f64, |most, p| most.max(p.hard_limit_ms / 1e3));
+        let end = self.scenario.seconds + longest + 1.0;
+        while let Some(Reverse((at, _, slot))) = self.events.pop() {
+            self.now = at as f64 / 1e6;
+            if self.now > end {
+                break;
+            }
+            self.free.push(slot);
+            let event = self.pending[slot].clone();
+            self.happens(event);
+        }
+        self.now = end;
+        self.rules.at_end(end);
+        self.sum_up()
+    }
+
+    fn happens(&mut self, event: Event) {
+        match event {
+            Event::Wish(wish) => self.ask(wish),
+            Event::Tick { gateway, turn } if self.gateways[gateway].turn == turn => self.tick(gateway),
+            Event::Tick { .. } => {}
+            Event::Engine { engine, turn } if self.engines[engine].turn == turn => {
+                let ended = self.engines[engine].ended(self.now);
+                for run in ended {
+                    self.completed(run);
+                }
+                self.look_again(engine);
+            }
+            Event::Engine { .. } => {}
+            Event::Note { engine, statement, relay } => self.note(engine, statement, relay),
+            Event::Due { statement, relay } => self.comes_to(statement, relay, News::TimedOut),
+            Event::Fails { statement, relay } => self.comes_to(statement, relay, News::Error),
+            Event::News { gateway, engine, stage, started } => {
+                let fact = self.fact(engine, stage, started);
+                self.gateways[gateway].front.told_list(moment(self.now), &ListNews::Changes(vec![fact]));
+                self.rules.told(self.now, gateway, engine, stage == Stage::Ready);
+                self.wake(gateway, self.now);
+            }
+            Event::Begins(at) => self.trouble(at, true),
+            Event::Ends(at) => self.trouble(at, false),
+        }
+    }
+
+    fn trouble(&mut self, at: usize, begins: bool) {
+        let (kind, trouble) = self.troubles[at].clone();
+        for engine in trouble.engines {
+            let of = &mut self.engines[engine];
+            of.advance(self.now);
+            of.turn += 1;
+            match (kind, begins) {
+                (Kind::Flood, _) => {}
+                (Kind::Slow, _) => of.slow = if begins { trouble.times.max(1.0) } else { 1.0 },
+                (Kind::Pause, _) => of.state = if begins { State::Paused } else { State::Well },
+                (Kind::Fail, _) => of.state = if begins { State::Failing } else { State::Well },
+                (Kind::Silent, true) => of.state = State::Silent,
+                (Kind::Silent, false) => {
+                    // What it had is lost without a word.
+                    of.drop_all(self.now);
+                    of.state = State::Well;
+                }
+                (Kind::Drain, true) => self.tell(engine, Stage::Draining),
+                (Kind::Restart, true) => {
+                    of.state = State::Down;
+                    self.reset(engine);
+                    self.tell(engine, Stage::Gone);
+                }
+                (Kind::Drain | Kind::Restart, false) => {
+                    (of.state, of.started) = (State::Well, Some(self.now));
+                    self.reset(engine);
+                    self.tell(engine, Stage::Ready);
+                }
+            }
+            self.look_again(engine);
+        }
+    }
+
+    fn reset(&mut self, engine: usize) {
+        for run in self.engines[engine].drop_all(self.now) {
+            self.comes_to(run.statement as usize, RelayNo(run.relay), News::Reset);
+        }
+    }
+
+    fn tell(&mut self, engine: usize, stage: Stage) {
+        let started = self.engines[engine].started;
+        for gateway in 0..self.gateways.len() {
+            let at = self.now + self.gateways[gateway].delay;
+            self.at(at, Event::News { gateway, engine, stage, started });
+        }
+    }
+
+    fn look_again(&mut self, engine: usize) {
+        if let Some(at) = self.engines[engine].next() {
+            let turn = self.engines[engine].turn;
+            self.at(at + 1e-6, Event::Engine { engine, turn });
+        }
+    }
+
+    fn ask(&mut self, at: usize) {
+        let now = self.now;
+        let wish = self.wishes[at].clone();
+        let product = &self.scenario.product[self.names[wish.product]];
+        if wish.tries == self.scenario.client_tries {
+            self.span(wish.member).0 += wish.cpu;
+        }
+        self.wishes[at].tries -= 1;
+        let statement = self.statements.len();
+        let id = StatementId(statement as u64);
+        let gateway = wish.gateway;
+        self.statements.push(Statement { wish: at, gateway, taken: now, out: None, answered: false });
+        self.figures.statements += 1;
+        let seen = Seen::new(gateway, wish.ends, product.unrepeatable, wish.key, product.zone);
+        self.rules.took(now, statement as u64, seen);
+        let wants = Wants {
+            product: ProductId(wish.product),
+            tenant: TenantId(0),
+            group: GroupId(wish.group),
+            estimate: Some(Span::from_secs(wish.estimate)),
+            memory_mb: product.memory_mb,
+            key: wish.key.map(OrderKey),
+            budget: Span::from_secs(wish.ends - now),
+        };
+        let pick = self.gateways[gateway].front.pick(moment(now), id, wish.desk, &wants);
+        if pick == Pick::Held {
+            self.note_plain(gateway, id, wish.desk, wish.product);
+        }
+        self.picked(id, pick);
+        self.wake(gateway, now);
+    }
+
+    /// What the plain estimators say of one that came to wait.
+    fn note_plain(&mut self, gateway: usize, id: StatementId, desk: DeskId, product: usize) {
+        let of = &mut self.gateways[gateway];
+        let Some(status) = of.front.hall().and_then(|hall| hall.statement(moment(self.now), id)) else { return };
+        let plain = of.plain.get(&(desk.0, product)).copied().unwrap_or_default();
+        let mean = plain.sum / plain.count.max(1.0);
+        self.plain.insert(id, [plain.last, mean, f64::from(status.ahead) * plain.between]);
+    }
+
+    fn tick(&mut self, gateway: usize) {
+        let now = moment(self.now);
+        self.gateways[gateway].tick = f64::INFINITY;
+        let tick = self.gateways[gateway].front.tick(now);
+        let waits = self.gateways[gateway].front.waits().to_vec();
+        for wait in waits {
+            let (told, p90, real) = (wait.told.wait.secs(), wait.told.p90.secs(), wait.real.secs());
+            let plain = self.plain.remove(&wait.id).unwrap_or_default();
+            let (desk, product) = (wait.desk.0, wait.product.0);
+            self.told.push(Told { at: self.now, gateway, desk, product, told, p90, real, plain });
+            let of = self.gateways[gateway].plain.entry((wait.desk.0, wait.product.0)).or_default();
+            let between = self.now - of.released;
+            of.between = if of.count > 0.0 { of.between * 0.9 + between.min(10.0) * 0.1 } else { 0.0 };
+            (of.last, of.sum, of.count, of.released) = (real, of.sum + real, of.count + 1.0, self.now);
+        }
+        if let Some(hall) = self.gateways[gateway].front.hall() {
+            self.longest_passed = self.longest_passed.max(hall.longest_passed(now).secs());
+        }
+        for (id, pick) in tick.due {
+            self.picked(id, pick);
+        }
+        self.wake(gateway, self.now + tick.wait.secs());
+    }
+
+    fn picked(&mut self, id: StatementId, pick: Pick) {
+        match pick {
+            Pick::Held => {}
+            Pick::Relay(order) => self.send(id, order),
+            Pick::Deny { come_back } => self.denied(id, come_back),
+            Pick::Scrap => self.scrapped(id),
+        }
+    }
+
+    fn send(&mut self, id: StatementId, order: Order) {
+        let (now, at, engine) = (self.now, id.0 as usize, order.engine.0 as usize);
+        let wish = &self.wishes[self.statements[at].wish];
+        let product = &self.scenario.product[self.names[wish.product]];
+        let (cpu, threads, memory_mb) = (wish.cpu, product.threads, product.memory_mb);
+        let zone = self.zone(engine);
+        self.rules.sent(now, id.0, engine, zone);
+        self.figures.relays += 1;
+        self.statements[at].out = Some((engine, order.relay, now));
+        let (statement, relay) = (at, order.relay);
+        match self.engines[engine].state {
+            State::Down => return self.comes_to(statement, relay, News::Unreachable),
+            State::Failing => return self.at(now + FAILS_S, Event::Fails { statement, relay }),
+            State::Well | State::Paused | State::Silent => {}
+        }
+        let due = (order.due - moment(0.0)).secs();
+        self.at(due, Event::Due { statement, relay });
+        let note = now + self.scenario.engines.note_ms / 1e3;
+        self.at(note, Event::Note { engine, statement, relay });
+        let run = Run { statement: id.0, relay: relay.0, cpu, threads, memory_mb, sent: now };
+        if self.engines[engine].take(now, run) {
+            self.rules.fell_over();
+            self.engines[engine].fell += 1;
+            self.engines[engine].state = State::Down;
+            self.reset(engine);
+        }
+        self.look_again(engine);
+    }
+
+    fn note(&mut self, engine: usize, statement: usize, relay: RelayNo) {
+        self.engines[engine].advance(self.now);
+        let Some(run) = self.engines[engine].runs(statement as u64, relay.0) else { return };
+        let share = self.engines[engine].share(run);
+        let out = self.statements[statement].out.is_some_and(|(at, no, _)| (at, no) == (engine, relay));
+        if self.engines[engine].state == State::Well && out {
+            let (gateway, latency) = (self.statements[statement].gateway, Span::from_secs(self.now - run.sent));
+            let id = StatementId(statement as u64);
+            let front = &mut self.gateways[gateway].front;
+            front.report(moment(self.now), id, relay, News::Progress(share), latency, false);
+        }
+        let next = self.now + self.scenario.engines.note_ms / 1e3;
+        self.at(next, Event::Note { engine, statement, relay });
+    }
+
+    fn completed(&mut self, run: Run) {
+        let at = run.statement as usize;
+        let out = self.statements[at].out.is_some_and(|(_, relay, _)| relay.0 == run.relay);
+        if !out {
+            return;
+        }
+        let news = News::Completed { cpu: Some(Span::from_secs(run.cpu)), memory_mb: Some(run.memory_mb) };
+        if !self.statements[at].answered {
+            self.statements[at].answered = true;
+            self.rules.answered(self.now, run.statement, false);
+            self.figures.completed += 1;
+            let Statement { wish, taken, .. } = self.statements[at];
+            let took = &mut self.took[self.wishes[wish].product];
+            took.0.push(run.sent - taken);
+            took.1.push(self.now - run.sent);
+            self.served(wish);
+        }
+        self.comes_to(at, RelayNo(run.relay), news);
+    }
+
+    fn served(&mut self, at: usize) {
+        let now = self.now;
+        let wish = &mut self.wishes[at];
+        if std::mem::replace(&mut wish.done, true) {
+            return;
+        }
+        let (member, cpu) = (wish.member, wish.cpu);
+        let of = &self.scenario.product[self.names[wish.product]];
+        let quoted = of.quoted_ms / 1e3 + of.quoted_stretch * cpu / of.threads;
+        let in_time = now - wish.at <= quoted;
+        let name = self.names[wish.product].to_owned();
+        let gain = if in_time { of.gain } else { of.gain * of.late_gain };
+        self.span(member).1 += cpu;
+        let counted = self.figures.members.entry(self.members[member].clone()).or_default();
+        counted.served_in_time += u64::from(in_time);
+        counted.served_late += u64::from(!in_time);
+        counted.service += gain;
+        counted.cpu_served += cpu;
+        self.figures.products.entry(name).or_default().served_in_time += u64::from(in_time);
+    }
+
+    fn span(&mut self, member: usize) -> &mut (f64, f64) {
+        let at = (self.now / SPAN_S) as usize;
+        let members = self.members.len();
+        while self.spans.len() <= at {
+            self.spans.push(vec![(0.0, 0.0); members]);
+        }
+        &mut self.spans[at][member]
+    }
+
+    /// A relay has its outcome, if it is still the one out.
+    fn comes_to(&mut self, at: usize, relay: RelayNo, news: News) {
+        let Some((_, _, sent)) = self.statements[at].out.filter(|(_, no, _)| *no == relay) else { return };
+        self.statements[at].out = None;
+        let ran = !matches!(news, News::Unreachable | News::TurnedAway | News::NeverSent);
+        self.rules.relay_over(at as u64, ran);
+        let (gateway, answered) = (self.statements[at].gateway, self.statements[at].answered);
+        let id = StatementId(at as u64);
+        let latency = Span::from_secs(self.now - sent);
+        let front = &mut self.gateways[gateway].front;
+        match front.report(moment(self.now), id, relay, news, latency, answered) {
+            Verdict::Nothing | Verdict::Cancel(_) => {}
+            Verdict::Deny { come_back } => self.denied(id, come_back),
+            Verdict::Scrap => self.scrapped(id),
+        }
+        self.wake(gateway, self.now);
+    }
+
+    fn denied(&mut self, id: StatementId, come_back: Option<Span>) {
+        let at = id.0 as usize;
+        self.plain.remove(&id);
+        self.rules.answered(self.now, id.0, true);
+        self.figures.denied += 1;
+        self.figures.denied_at_once += u64::from(self.now - self.statements[at].taken <= AT_ONCE_S);
+        self.statements[at].answered = true;
+        let wish = self.statements[at].wish;
+        let wait = come_back.map_or(0.1, Span::secs) * self.rng.random_range(1.0..1.2);
+        let of = &self.wishes[wish];
+        if of.tries > 0 && self.now + wait < of.ends - 0.05 {
+            self.at(self.now + wait, Event::Wish(wish));
+        }
+    }
+
+    fn scrapped(&mut self, id: StatementId) {
+        self.plain.remove(&id);
+        self.rules.answered(self.now, id.0, false);
+        self.figures.scrapped += 1;
+        self.statements[id.0 as usize].answered = true;
+    }
+
+    fn sum_up(mut self) -> Outcome {
+        let mut figures = std::mem::take(&mut self.figures);
+        let (mut gain, mut asked_gain) = (0.0, 0.0);
+        for wish in &self.wishes {
+            let name = self.names[wish.product];
+            let of = &self.scenario.product[name];
+            let member = figures.members.entry(self.members[wish.member].clone()).or_default();
+            member.asked += 1;
+            member.cpu_asked += wish.cpu;
+            figures.products.entry(name.to_owned()).or_default().asked += 1;
+            asked_gain += of.gain;
+        }
+        let seconds = self.scenario.seconds;
+        for (at, name) in self.members.iter().enumerate() {
+            let asked: f64 = self
+                .wishes
+                .iter()
+                .filter(|wish| wish.member == at)
+                .map(|wish| self.scenario.product[self.names[wish.product]].gain)
+                .sum();
+            let member = figures.members.entry(name.clone()).or_default();
+            gain += member.service;
+            member.service = ratio(member.service, asked);
+            (member.cpu_asked, member.cpu_served) =
+                (ratio(member.cpu_asked, seconds), ratio(member.cpu_served, seconds));
+            member.budget = self.claims[at].0;
+            member.worst_of_fair = 1.0;
+        }
+        let (owed, weights): (Vec<f64>, Vec<f64>) = self.claims.iter().copied().unzip();
+        let owed: Vec<f64> = owed.iter().map(|owed| owed * SPAN_S).collect();
+        let whole = (seconds / SPAN_S) as usize;
+        for span in self.spans.iter().take(whole).skip(1) {
+            let (asked, served): (Vec<f64>, Vec<f64>) = span.iter().copied().unzip();
+            let fair = figures::fair(served.iter().sum(), &asked, &owed, &weights);
+            for (at, name) in self.members.iter().enumerate().filter(|(at, _)| asked[*at] > owed[*at] * 0.1) {
+                let member = figures.members.get_mut(name).expect("counted above");
+                member.worst_of_fair = member.worst_of_fair.min(ratio(served[at], fair[at]));
+            }
+        }
+        let worst = figures.members.values().map(|member| member.worst_of_fair);
+        figures.worst_member_of_fair = worst.fold(1.0, f64::min);
+        for (name, took) in self.names.iter().zip(std::mem::take(&mut self.took)) {
+            let product = figures.products.entry((*name).to_owned()).or_default();
+            (product.before, product.running) = (figures::waits(took.0), figures::waits(took.1));
+            product.share_in_time = ratio(product.served_in_time as f64, product.asked as f64);
+        }
+        let part = |of: &dyn Fn(&Told) -> bool| {
+            ratio(self.told.iter().filter(|told| of(told)).count() as f64, self.told.len() as f64)
+        };
+        figures.estimate_within_20 = part(&|t| well(t.told, t.real));
+        figures.last_wait_within_20 = part(&|t| well(t.plain[0], t.real));
+        figures.mean_wait_within_20 = part(&|t| well(t.plain[1], t.real));
+        figures.count_ahead_within_20 = part(&|t| well(t.plain[2], t.real));
+        figures.within_p90 = part(&|t| t.real <= t.p90 + 0.02);
+        let waiting: Vec<_> = self.told.iter().filter(|told| told.real > 0.02 || told.told > 0.02).collect();
+        let held = waiting.iter().filter(|told| well(told.told, told.real)).count();
+        figures.estimate_within_20_waiting = ratio(held as f64, waiting.len() as f64);
+        figures.waited = waiting.len() as u64;
+        self.waits.extend(self.told.iter().map(|told| told.real));
+        figures.waits = figures::waits(std::mem::take(&mut self.waits));
+        figures.longest_passed_over_ms = (self.longest_passed * 1e6).round() / 1e3;
+        figures.service = ratio(gain, asked_gain);
+        figures.rules_broken = self.rules.count();
+        figures.rules = self.rules.broken.clone();
+        figures.simulated_s = seconds;
+        Outcome {
+            figures,
+            told: self.told,
+            members: self.members,
+            spans: self.spans,
+            span_s: SPAN_S,
+            took_s: self.started.elapsed().as_secs_f64(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,218 @@
+//! A scenario as its HCL file says it; units stand in the names.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+#[derive(Debug, Error)]
+pub enum ScenarioError {
+    #[error("{0}: {1}")]
+    Unreadable(String, std::io::Error),
+    #[error("{0}: {1}")]
+    Form(String, String),
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub seconds: f64,
+    pub gateways: usize,
+    /// Times a client asks in all, within its hard limit, as long as it is denied.
+    #[serde(default = "one")]
+    pub client_tries: u32,
+    /// List news reach each gateway this late at most.
+    #[serde(default = "two_seconds")]
+    pub list_delay_ms: f64,
+    pub engines: Engines,
+    pub product: BTreeMap<String, Product>,
+    /// By member, then desk.
+    pub traffic: BTreeMap<String, BTreeMap<String, Traffic>>,
+    #[serde(default)]
+    pub script: BTreeMap<String, Several<Trouble>>,
+    pub queues: Option<operator::QueuesBlock>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn two_seconds() -> f64 {
+    2000.0
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engines {
+    pub count: usize,
+    pub cores: f64,
+    pub memory_mb: f64,
+    #[serde(default = "one_zone")]
+    pub zones: u16,
+    /// A started engine can do `cold_share` of its work, all of it after `cold_s`.
+    pub cold_s: f64,
+    pub cold_share: f64,
+    /// Sent more than this many times what it can do, for `tip_s`, a cold engine falls over.
+    pub tip_multiple: f64,
+    pub tip_s: f64,
+    /// Beyond so many threads a core each further one costs this part of all work.
+    pub threads_a_core: f64,
+    pub crowd_loss: f64,
+    pub note_ms: f64,
+}
+
+fn one_zone() -> u16 {
+    1
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Product {
+    pub cpu_ms: f64,
+    /// Of the logarithm of the CPU.
+    pub cpu_spread: f64,
+    /// What estimates are, over the truth, in the middle, and the spread of their logarithm.
+    pub estimate_times: f64,
+    pub estimate_spread: f64,
+    pub memory_mb: f64,
+    #[serde(default = "one_thread")]
+    pub threads: f64,
+    pub quoted_ms: f64,
+    #[serde(default)]
+    pub quoted_stretch: f64,
+    pub hard_limit_ms: f64,
+    pub gain: f64,
+    #[serde(default)]
+    pub late_gain: f64,
+    #[serde(default = "eight")]
+    pub table_groups: u32,
+    #[serde(default)]
+    pub unrepeatable: bool,
+    /// So many order keys; none: no order.
+    #[serde(default)]
+    pub keys: u64,
+    /// Bound to this zone.
+    pub zone: Option<u16>,
+}
+
+fn one_thread() -> f64 {
+    1.0
+}
+
+fn eight() -> u32 {
+    8
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Traffic {
+    /// Statements a second by product, over all gateways.
+    pub per_s: BTreeMap<String, f64>,
+}
+
+/// A label that stands once or several times.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+pub enum Several<T> {
+    One(T),
+    Many(Vec<T>),
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    pub at_s: f64,
+    pub for_s: f64,
+    /// By number; for a flood, none.
+    #[serde(default)]
+    pub engines: Vec<usize>,
+    /// Of a flood: which traffic; all of it where not named.
+    pub member: Option<String>,
+    pub product: Option<String>,
+    /// How many times the traffic, or how many times slower.
+    #[serde(default = "one_thread")]
+    pub times: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Flood,
+    /// Told, and gone afterwards until it comes back cold.
+    Drain,
+    /// Takes statements, and neither answers nor notes.
+    Silent,
+    /// Stands still, and goes on where it was.
+    Pause,
+    /// Answers all with an error at once.
+    Fail,
+    Slow,
+    /// Dies with all it has, and comes back cold after the time.
+    Restart,
+}
+
+impl Scenario {
+    /// # Errors
+    /// The file cannot be read, or says what no scenario can.
+    pub fn read(path: &Path) -> Result<Self, ScenarioError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| ScenarioError::Unreadable(name.clone(), e))?;
+        Self::parse(&text).map_err(|why| ScenarioError::Form(name, why))
+    }
+
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let scenario: Scenario = hcl::from_str(text).map_err(|e| e.to_string())?;
+        for (member, desks) in &scenario.traffic {
+            for (desk, traffic) in desks {
+                if let Some(unknown) = traffic.per_s.keys().find(|name| !scenario.product.contains_key(*name)) {
+                    return Err(format!("traffic {member} {desk}: no product {unknown}"));
+                }
+            }
+        }
+        let troubles = scenario.troubles()?;
+        let engine = troubles.iter().flat_map(|(_, t)| &t.engines).find(|at| **at >= scenario.engines.count);
+        match engine {
+            Some(engine) => Err(format!("script: no engine {engine}")),
+            None => Ok(scenario),
+        }
+    }
+
+    /// A field by its path, as `sweep` sets it: `engines.count`, `traffic.valley-water.counter.per_s.lookup`.
+    pub fn with(text: &str, path: &str, value: f64) -> Result<Self, String> {
+        let mut file: hcl::Value = hcl::from_str(text).map_err(|e| e.to_string())?;
+        let mut at = &mut file;
+        for step in path.split('.') {
+            let below = at.as_object_mut().and_then(|fields| fields.get_mut(step));
+            at = below.ok_or_else(|| format!("no field {path}"))?;
+        }
+        let whole = value.fract() == 0.0;
+        *at = if whole { hcl::Value::from(value as i64) } else { hcl::Value::from(value) };
+        Self::parse(&hcl::to_string(&file).map_err(|e| e.to_string())?)
+    }
+
+    pub fn troubles(&self) -> Result<Vec<(Kind, Trouble)>, String> {
+        let mut all = Vec::new();
+        for (name, several) in &self.script {
+            let kind = match &name[..] {
+                "flood" => Kind::Flood,
+                "drain" => Kind::Drain,
+                "silent" => Kind::Silent,
+                "pause" => Kind::Pause,
+                "fail" => Kind::Fail,
+                "slow" => Kind::Slow,
+                "restart" => Kind::Restart,
+                other => return Err(format!("script: unknown kind {other}")),
+            };
+            match several {
+                Several::One(trouble) => all.push((kind, trouble.clone())),
+                Several::Many(troubles) => all.extend(troubles.iter().map(|trouble| (kind, trouble.clone()))),
+            }
+        }
+        Ok(all)
+    }
+
+    pub fn terms(&self) -> Result<Option<queues::Terms>, String> {
+        let Some(block) = self.queues.clone() else { return Ok(None) };
+        block.terms().map_err(|fault| format!("{}: {}", fault.path.join("."), fault.why))
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -4,6 +4,8 @@
 mod place;
 mod queues_block;
 
+pub use queues_block::Queues as QueuesBlock;
+
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
@@ -24,9 +26,9 @@
 
 /// A fault of one field, by its path from the top.
 #[derive(Debug, PartialEq)]
-struct Fault {
-    path: Vec<String>,
-    why: String,
+pub struct Fault {
+    pub path: Vec<String>,
+    pub why: String,
 }
 
 fn fault(path: &[&str], why: impl ToString) -> Fault {
--- a/crates/operator/src/queues_block.rs
+++ b/crates/operator/src/queues_block.rs
@@ -13,7 +13,7 @@
     true
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Queues {
     #[serde(default = "yes")]
@@ -28,7 +28,7 @@
     member: BTreeMap<String, Member>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Member {
     cpu_s_per_s: f64,
@@ -38,7 +38,7 @@
     desk: BTreeMap<String, Desk>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Desk {
     cpu_s_per_s: Option<f64>,
@@ -58,6 +58,9 @@
 
 impl Queues {
     /// What the lines take; nothing where switched off.
+    ///
+    /// # Errors
+    /// A field that cannot be used, or contradicts another.
     pub fn terms(self) -> Result<Option<Terms>, Fault> {
         let span_ms = |name, value, default: f64, least, most| {
             within(&["queues", name], value, default, least, most).map(|ms| Span::from_secs(ms / 1e3))
--- a/crates/queues/src/budget.rs
+++ b/crates/queues/src/budget.rs
@@ -54,6 +54,12 @@
         self.level > 1e-9
     }
 
+    /// Whether what is saved, and comes in within so many seconds, pays for this.
+    pub fn covers(&mut self, now: Moment, secs: f64, cpu: f64) -> bool {
+        self.fill(now);
+        self.level + self.claim.budget * secs.max(0.0) >= cpu
+    }
+
     /// When it will be under its budget again; never where nothing is owed.
     pub fn under_at(&mut self, now: Moment) -> Option<Moment> {
         self.fill(now);
--- a/crates/queues/src/hall.rs
+++ b/crates/queues/src/hall.rs
@@ -60,8 +60,9 @@
         let entered = self.dispatch.enter(now, id, &Wants { budget, ..*wants });
         let Some((place, forecast)) = entered else { return Pick::Held };
         let need = Need { cpu: forecast.cpu.secs(), memory_mb: forecast.memory_mb };
-        let (product, useful_until, key) = (wants.product, forecast.useful_until, wants.key);
-        let entering = lines.enter(now, &Entry { id, desk, product, place, need, useful_until, key });
+        let Forecast { full_until, useful_until, .. } = forecast;
+        let (product, key) = (wants.product, wants.key);
+        let entering = lines.enter(now, &Entry { id, desk, product, place, need, full_until, useful_until, key });
         self.tally.entered += 1;
         for (victim, back) in entering.displaced {
             self.tally.displaced += 1;
@@ -135,7 +136,7 @@
     pub fn gone(&mut self, now: Moment, id: StatementId) {
         self.dispatch.gone(id);
         if let Some(lines) = &mut self.lines {
-            self.tally.left += u64::from(lines.left(now, id));
+            self.tally.left += u64::from(lines.left(now, id).is_some());
             if !self.dispatch.holds(id) {
                 lines.over(id);
             }
@@ -170,7 +171,7 @@
         self.tally
     }
 
-    /// The waits that ended in the last tick.
+    /// The waits that ended in the last tick, by release or by the module's denial.
     pub fn waits(&self) -> &[Wait] {
         &self.waits
     }
@@ -219,13 +220,13 @@
             tally.released += 1;
             let wait = lines.released(now, id, charge.secs());
             let well =
-                |wait: &Wait| (wait.told - wait.real).secs().abs() <= (0.2 * wait.real.secs()).max(0.02);
+                |wait: &Wait| (wait.told.wait - wait.real).secs().abs() <= (0.2 * wait.real.secs()).max(0.02);
             tally.told_well += u64::from(wait.as_ref().is_some_and(well));
             waits.extend(wait);
         }
         Pick::Deny { .. } | Pick::Scrap => {
             tally.denied += 1;
-            lines.left(now, id);
+            waits.extend(lines.left(now, id));
         }
     }
     due.push((id, pick));
--- a/crates/queues/src/lines.rs
+++ b/crates/queues/src/lines.rs
@@ -25,7 +25,8 @@
     pub product: ProductId,
     pub place: Place,
     pub need: Need,
-    /// After this an answer is of no use any more, by the module's word.
+    /// After this an answer is late, and after this of no use any more, by the module's word.
+    pub full_until: Moment,
     pub useful_until: Moment,
     pub key: Option<OrderKey>,
 }
@@ -60,12 +61,19 @@
     raw: f64,
     /// The estimate stood on what was seen at its desk, and so counts for the next ones.
     seen: bool,
-    told: Span,
+    told: Estimate,
     key: Option<OrderKey>,
     /// It stands in its desk's line; else an earlier one of its key does, or it is passed by for this round.
     in_line: bool,
 }
 
+impl Waiter {
+    fn wait(&self, now: Moment, id: StatementId) -> Wait {
+        let (product, desk) = (ProductId(self.lane / 2), DeskId(self.desk));
+        Wait { id, product, desk, told: self.told, real: now - self.entered }
+    }
+}
+
 /// What a statement that was released is charged, until its outcome.
 #[derive(Clone, Copy, Debug)]
 struct Charge {
@@ -170,12 +178,13 @@
     pub left: Estimate,
 }
 
-/// How the wait of a released statement was told at its entry.
+/// A wait that ended, and how it was told at its entry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Wait {
+    pub id: StatementId,
     pub product: ProductId,
     pub desk: DeskId,
-    pub told: Span,
+    pub told: Estimate,
     pub real: Span,
 }
 
@@ -342,12 +351,18 @@
         *usual = if *usual > 0.0 { *usual + (entry.need.cpu - *usual) * 0.05 } else { entry.need.cpu };
         let raw = self.raw(desk, lane, entry.place, entry.need);
         let told = self.records[entry.product.0].tell(raw);
-        let useful = (entry.useful_until - now).secs();
+        // What is lent is short while something waits: an answer that comes late there has cost another its place.
+        let full = (entry.full_until - now).secs();
+        let of = &mut self.desks[desk as usize];
+        let holder = &mut self.members[of.member as usize].account;
+        let owed = of.account.covers(now, full, of.cpu + entry.need.cpu) && holder.covers(now, full, entry.need.cpu + of.cpu);
+        let useful = ((if owed { entry.useful_until } else { entry.full_until }) - now).secs();
         // Only what was seen here denies, not what is likely; and of one whose key's turn has to come first nothing is
         // known.
         let seen = self.desks[desk as usize].paces[entry.product.0].known(now, self.cores).is_some();
-        if seen && entry.key.is_none() && told.wait.secs() > useful.max(0.05) {
-            let back = Span::from_secs(told.wait.secs() - useful.max(0.0));
+        let wait = if owed { told.wait } else { told.p90 }.secs();
+        if seen && entry.key.is_none() && wait > useful.max(0.05) {
+            let back = Span::from_secs(wait - useful.max(0.0));
             return Entering { entered: Entered::TurnedAway { back }, displaced: Vec::new() };
         }
         let Some(displaced) = self.make_room(desk, entry.place, entry.need) else {
@@ -365,7 +380,7 @@
                 useful_until: entry.useful_until,
                 raw,
                 seen,
-                told: told.wait,
+                told,
                 key: entry.key,
                 in_line: false,
             },
@@ -523,7 +538,7 @@
             self.desks[waiter.desk as usize].passed_since = Some(now);
         }
         self.pay(now, id, waiter.desk, charge);
-        Some(Wait { product: ProductId(product), desk: DeskId(waiter.desk), told: waiter.told, real })
+        Some(waiter.wait(now, id))
     }
 
     fn pay(&mut self, now: Moment, id: StatementId, desk: u32, cpu: f64) {
@@ -568,10 +583,10 @@
         self.charges.remove(&id);
     }
 
-    /// Denied, or its client left: out of line. False: it did not wait.
-    pub fn left(&mut self, now: Moment, id: StatementId) -> bool {
+    /// Denied, or its client left: out of line. `None`: it did not wait.
+    pub fn left(&mut self, now: Moment, id: StatementId) -> Option<Wait> {
         self.now = now;
-        self.take_out(id).is_some()
+        self.take_out(id).map(|waiter| waiter.wait(now, id))
     }
 
     /// Those whose use has ended: the module is to be asked about them once more.
--- a/crates/queues/src/terms.rs
+++ b/crates/queues/src/terms.rs
@@ -58,6 +58,16 @@
 }
 
 impl Terms {
+    /// What is owed at one of several gateways that each see this part of the traffic. Bounds are each gateway's own.
+    pub fn part(&self, part: f64) -> Terms {
+        let mut terms = self.clone();
+        for member in &mut terms.members {
+            member.claim.budget *= part;
+            member.desks.iter_mut().for_each(|desk| desk.claim.budget *= part);
+        }
+        terms
+    }
+
     pub fn desks(&self) -> usize {
         self.members.iter().map(|member| member.desks.len()).sum()
     }
--- a/crates/queues/tests/lines.rs
+++ b/crates/queues/tests/lines.rs
@@ -51,6 +51,7 @@
         product: ProductId(0),
         place: Place { by: at(by), id: StatementId(id), over_allowance: false },
         need: Need { cpu, memory_mb: 1.0 },
+        full_until: at(by),
         useful_until: at(by),
         key: None,
     }
@@ -271,8 +272,8 @@
         waits(&mut lines, 0.0, &entry(id * 1000 + 1, (id % 3) as u32, 0.01, 50.0 + (id * 13 % 100) as f64));
     }
     for id in (0..300).step_by(2) {
-        assert!(lines.left(at(0.1), StatementId(id * 1000 + 1)));
-        assert!(!lines.left(at(0.1), StatementId(id * 1000 + 1)));
+        assert!(lines.left(at(0.1), StatementId(id * 1000 + 1)).is_some());
+        assert!(lines.left(at(0.1), StatementId(id * 1000 + 1)).is_none());
     }
     let left = release(&mut lines, 0.2, 999);
     assert_eq!(left.len(), 150);
@@ -429,7 +430,7 @@
             if rng.random::<f64>() < 0.3 && !here.is_empty() {
                 let gone = *here.keys().nth(rng.random_range(0..here.len())).unwrap();
                 let desk = here.remove(&gone).unwrap().0;
-                assert!(lines.left(at(now), StatementId(gone)));
+                assert!(lines.left(at(now), StatementId(gone)).is_some());
                 if !here.values().any(|(of, ..)| *of == desk) {
                     since.remove(&desk);
                 }
