The small MySQL client is a package of its own, for the command line as well as the toy

Need: the command line is to ask a running gateway, as the toy does; a second client would be a second copy. Change: moved as it stood; the toy names it on.

--- a/examples/toy/src/lib.rs
+++ b/examples/toy/src/lib.rs
@@ -2,5 +2,5 @@
 //! Plain threads and blocking sockets; what they do wrong on purpose is set from outside.
 
 pub mod board;
-pub mod client;
+pub use client;
 pub mod engine;
