The gateway holds statements by team when the operator's file says so; clap command line

Need: queues by member and desk are to be on by the operator's file alone, and operators need to ask what waits.

With a queues block, the service puts statements before the lines: desk from the comment, else from the client's network, else the default. Without the file all is as it was.

--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -4,7 +4,7 @@
 pub mod packets;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::TcpStream;
+use std::net::{IpAddr, TcpStream};
 
 use admission::interface::*;
 use bytes::{Bytes, BytesMut};
@@ -40,6 +40,13 @@
     Asked {
         session: u32,
         text: Bytes,
+        from: IpAddr,
+    },
+    /// What waits: all, or the statement of this id.
+    Queue {
+        session: u32,
+        text: Bytes,
+        id: Option<String>,
     },
     Kill {
         by: u32,
@@ -60,6 +67,9 @@
 
 struct Session {
     socket: Socket,
+    from: IpAddr,
+    /// It takes progress reports while its statement waits.
+    progress: bool,
     phase: Phase,
     /// Number of the packet that is to be answered.
     seq: u8,
@@ -115,6 +125,10 @@
 pub struct Clients {
     handle: Loop,
     share: usize,
+    /// Progress reports are offered.
+    progress: bool,
+    /// Sessions that take them; they leave with the session.
+    progressing: BTreeSet<u32>,
     /// What all inboxes may hold together and do; beyond it those that are not small are turned away.
     bound: usize,
     unread: usize,
@@ -127,11 +141,14 @@
 }
 
 impl Clients {
-    pub fn new(handle: &Loop, share: usize, bound: usize, now: Moment) -> Self {
+    pub fn new(handle: &Loop, share: usize, bound: usize, progress: bool, now: Moment) -> Self {
+        let progressing = BTreeSet::new();
         let (sessions, again, news) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
         Clients {
             handle: handle.clone(),
             share,
+            progress,
+            progressing,
             bound,
             unread: 0,
             next: 0,
@@ -190,7 +207,7 @@
         std::mem::take(&mut self.news)
     }
 
-    pub fn accept(&mut self, now: Moment, stream: TcpStream, counters: &mut Counters) {
+    pub fn accept(&mut self, now: Moment, stream: TcpStream, from: IpAddr, counters: &mut Counters) {
         self.make_room(counters);
         // Zero is what an unset connection id reads as.
         self.next = self.next.checked_add(1).unwrap_or(1);
@@ -202,6 +219,8 @@
         counters.sessions_opened += 1;
         let mut session = Session {
             socket,
+            from,
+            progress: false,
             phase: Phase::Login,
             seq: 0,
             asked: false,
@@ -212,7 +231,7 @@
             begun: None,
             written: 0,
         };
-        session.socket.put(&packets::greeting(id));
+        session.socket.put(&packets::greeting(id, self.progress));
         self.sessions.insert(id, session);
         self.ready(now, id, counters);
     }
@@ -296,6 +315,10 @@
         if session.phase == Phase::Login {
             match packets::login(body) {
                 Ok(()) => {
+                    session.progress = self.progress && packets::takes_progress(body);
+                    if session.progress {
+                        self.progressing.insert(id);
+                    }
                     session.phase = Phase::Open;
                     session.socket.put(&answer.ok());
                 }
@@ -326,8 +349,13 @@
                 }
                 Query::Statement => {
                     session.asked = true;
-                    let text = Bytes::copy_from_slice(text);
-                    self.news.push(News::Asked { session: id, text });
+                    let (text, from) = (Bytes::copy_from_slice(text), session.from);
+                    self.news.push(News::Asked { session: id, text, from });
+                }
+                Query::Queue(rid) => {
+                    session.asked = true;
+                    let (text, id_of) = (Bytes::copy_from_slice(text), rid.map(String::from));
+                    self.news.push(News::Queue { session: id, text, id: id_of });
                 }
             },
         }
@@ -338,6 +366,25 @@
         self.sessions.get_mut(&id).into_iter().for_each(|session| session.statement = Some(statement));
     }
 
+    /// Sessions that take progress reports and have a statement open.
+    pub fn progressing(&self) -> Vec<(u32, StatementId)> {
+        let open = |id: &u32| Some((*id, self.sessions.get(id)?.statement?));
+        self.progressing.iter().filter_map(open).collect()
+    }
+
+    /// A report ahead of a session's answer; one that does not read its reports gets no more.
+    pub fn tell_progress(&mut self, now: Moment, id: u32, done: u32, text: &str, counters: &mut Counters) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if !session.asked || session.socket.unwritten() > 0 {
+            return;
+        }
+        let (seq, packet) = Answer::to(session.seq).progress((1, 2), done, text);
+        session.seq = seq;
+        session.socket.put(&packet);
+        counters.progress_told += 1;
+        self.settle(now, id, counters);
+    }
+
     /// Gives a session its one answer, and reads on behind it. False: nobody waits for it any more.
     pub fn answer(
         &mut self,
@@ -376,6 +423,7 @@
     fn end(&mut self, id: u32, counters: &mut Counters) {
         let Some(session) = self.sessions.remove(&id) else { return };
         counters.sessions_closed += 1;
+        self.progressing.remove(&id);
         self.unread -= session.socket.inbox.len();
         self.news.extend(session.statement.map(News::Left));
     }
--- a/crates/gateway/src/clients/packets.rs
+++ b/crates/gateway/src/clients/packets.rs
@@ -66,6 +66,24 @@
         self.bytes
     }
 
+    /// A MariaDB progress report, ahead of the answer: the stage of so many, and thousandths of a percent of it.
+    pub fn progress(mut self, (stage, stages): (u8, u8), done: u32, text: &str) -> (u8, BytesMut) {
+        self.packet(|out| {
+            out.extend([0xff, 0xff, 0xff, 1, stage, stages]);
+            out.extend(&done.min(100_000).to_le_bytes()[..3]);
+            RawBytes::<LenEnc>::new(text.as_bytes()).serialize(out);
+        });
+        (self.seq.wrapping_sub(1), self.bytes)
+    }
+
+    /// Columns by name, and rows of text.
+    pub fn table<const N: usize>(mut self, names: [&str; N], rows: &[[String; N]]) -> BytesMut {
+        self.columns(&names);
+        rows.iter().for_each(|row| self.row(row.iter().map(String::as_bytes)));
+        self.eof();
+        self.bytes
+    }
+
     pub fn error(mut self, code: u16, state: &[u8; 5], text: &str) -> BytesMut {
         let error = ServerError::new(code, Some(SqlState::new(*state)), text.as_bytes());
         self.packet(|out| ErrPacket::Error(error).serialize(out));
@@ -122,7 +140,12 @@
         | CapabilityFlags::CLIENT_PLUGIN_AUTH
 }
 
-pub fn greeting(connection: u32) -> BytesMut {
+/// Of MariaDB's capabilities beyond the thirty-two: its clients take progress reports.
+const PROGRESS: u32 = 1;
+
+/// `progress`: progress reports are offered, in MariaDB's form: without the capability that marks MySQL's own servers,
+/// the last four bytes of what is reserved are further capabilities.
+pub fn greeting(connection: u32, progress: bool) -> BytesMut {
     let packet = HandshakePacket::new(
         10,
         &b"8.0.0-laurelhitch"[..],
@@ -136,10 +159,26 @@
         Some(&b"mysql_native_password"[..]),
     );
     let mut answer = Answer::to(u8::MAX);
-    answer.packet(|out| packet.serialize(out));
+    answer.packet(|out| {
+        packet.serialize(out);
+        // Version, connection, first part of the scramble and its end stand ahead of the capabilities.
+        let lower = out.iter().skip(1).position(|byte| *byte == 0).map_or(0, |end| end + 2 + 4 + 8 + 1);
+        if progress && out.len() > lower + 18 {
+            out[lower] &= !(CapabilityFlags::CLIENT_LONG_PASSWORD.bits() as u8);
+            out[lower + 14..lower + 18].copy_from_slice(&PROGRESS.to_le_bytes());
+        }
+    });
     answer.bytes
 }
 
+/// Whether a login announces that progress reports are understood.
+pub fn takes_progress(body: &[u8]) -> bool {
+    let word =
+        |at: usize| body.get(at..at + 4).map(|word| u32::from_le_bytes([word[0], word[1], word[2], word[3]]));
+    let mysql = CapabilityFlags::CLIENT_LONG_PASSWORD.bits();
+    word(0).is_some_and(|own| own & mysql == 0) && word(28).is_some_and(|more| more & PROGRESS != 0)
+}
+
 /// Why a login is turned down, as code, state and text.
 pub type Denied = (u16, &'static [u8; 5], &'static str);
 
@@ -190,6 +229,8 @@
         connection: u32,
         whole: bool,
     },
+    /// What waits: all teams, or the statement of this id.
+    Queue(Option<&'a str>),
     /// Of an ordinary client's set-up: `SET` and the like.
     Fine,
     /// `SELECT @@name`, with its name.
@@ -208,6 +249,14 @@
         let number = if whole && !is(second, "connection") { second } else { third };
         return number.parse().map_or(Query::Statement, |connection| Query::Kill { connection, whole });
     }
+    if is(first, "show") && is(second, "queue") {
+        let id = more.strip_prefix('\'').and_then(|id| id.strip_suffix('\''));
+        match id {
+            None if third.is_empty() => return Query::Queue(None),
+            Some(id) if is(third, "for") => return Query::Queue(Some(id)),
+            _ => {}
+        }
+    }
     let plain_words = ["set", "use", "begin", "commit", "rollback", "start"];
     if plain_words.iter().any(|name| is(first, name)) {
         return Query::Fine;
--- /dev/null
+++ b/crates/gateway/src/command.rs
@@ -0,0 +1,178 @@
+//! The command line. Without a sub-command it serves, so that operators' old lines go on working.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
+use client::{Answer, Client};
+use serde_json::{Map, Value, json};
+use tracing_subscriber::EnvFilter;
+
+use crate::config::{Config, ConfigError, Operated};
+use crate::lifecycle::Lifecycle;
+use crate::status;
+
+/// A front for query engines with limited memory.
+#[derive(Debug, Parser)]
+#[command(name = "laurelhitch", version)]
+pub struct CommandLine {
+    #[command(flatten)]
+    pub common: Common,
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+#[derive(Args, Debug)]
+pub struct Common {
+    /// The operator's file (HCL); without one all of its subsystems are off.
+    #[arg(long, env = "LAURELHITCH_OPERATOR", global = true)]
+    pub operator: Option<PathBuf>,
+    /// The form of the log on standard error.
+    #[arg(long, value_enum, default_value_t = LogFormat::Text, global = true)]
+    pub log_format: LogFormat,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serves, with the configuration that RELAY_CONFIG names.
+    Serve,
+    /// Reads the operator's file and the configuration, and prints what would be in force.
+    Check {
+        /// The configuration; without it, that of RELAY_CONFIG.
+        config: Option<PathBuf>,
+    },
+    /// Asks a running gateway what waits.
+    Queue {
+        address: SocketAddr,
+        /// Only this member's desks.
+        #[arg(long)]
+        member: Option<String>,
+        /// One statement, by its id.
+        #[arg(long, conflicts_with = "member")]
+        rid: Option<String>,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Prints completions for a shell.
+    Completions { shell: clap_complete::Shell },
+}
+
+type Done = Result<(), Box<dyn Error>>;
+
+pub fn run(line: CommandLine) -> Done {
+    let Common { operator, log_format } = line.common;
+    match line.command.unwrap_or(Command::Serve) {
+        Command::Serve => serve(operator, log_format),
+        Command::Check { config } => check(operator, config),
+        Command::Queue { address, member, rid, json } => {
+            queue(address, member.as_deref(), rid.as_deref(), json)
+        }
+        Command::Completions { shell } => {
+            let mut command = CommandLine::command();
+            clap_complete::generate(shell, &mut command, "laurelhitch", &mut std::io::stdout());
+            Ok(())
+        }
+    }
+}
+
+fn configured(named: Option<PathBuf>) -> Result<PathBuf, ConfigError> {
+    named.or_else(|| std::env::var_os("RELAY_CONFIG").map(PathBuf::from)).ok_or(ConfigError::NoPath)
+}
+
+fn serve(operator: Option<PathBuf>, format: LogFormat) -> Done {
+    let level = EnvFilter::try_from_env("LAURELHITCH_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    let log = tracing_subscriber::fmt().with_env_filter(level).with_writer(std::io::stderr).with_ansi(false);
+    match format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().init(),
+    }
+    let path = configured(None)?;
+    let config = Config::read(&path)?;
+    let operated = Operated::read(operator, &config)?;
+    Lifecycle::start(path, config, operated)?.run()?;
+    Ok(())
+}
+
+fn check(operator: Option<PathBuf>, config: Option<PathBuf>) -> Done {
+    let path = configured(config)?;
+    let config = Config::read(&path)?;
+    config.settings.policy(config.seed)?;
+    println!("configuration {}: gateway {}, listens on {}", path.display(), config.name, config.listen);
+    println!("  products: {}", config.settings.product_names()?.join(", "));
+    println!("  members: {}", config.settings.tenant_names()?.join(", "));
+    let file = operator.as_deref().map_or("no operator's file".to_owned(), |file| shown(file));
+    let operated = Operated::read(operator, &config)?;
+    let Some(terms) = operated.queues else {
+        println!("{file}: queues are off");
+        return Ok(());
+    };
+    let (ageing, burst) = (terms.ageing.secs(), terms.burst.secs());
+    println!("{file}: queues are on; ageing {ageing} s, budgets save up over {burst} s");
+    println!(
+        "  bounds: {} statements, {} CPU s; a desk {}, {}",
+        terms.all.statements, terms.all.cpu, terms.each.statements, terms.each.cpu
+    );
+    println!("  this gateway's part, in CPU s a second:");
+    for member in &terms.members {
+        println!("  {:<20} {:>8.3}  weight {}", member.name, member.claim.budget, member.claim.weight);
+        for desk in &member.desks {
+            let networks: Vec<String> = desk.networks.iter().map(ToString::to_string).collect();
+            println!(
+                "    {:<18} {:>8.3}  weight {}  {}",
+                desk.name,
+                desk.claim.budget,
+                desk.claim.weight,
+                networks.join(" ")
+            );
+        }
+    }
+    Ok(())
+}
+
+fn shown(file: &Path) -> String {
+    format!("operator's file {}", file.display())
+}
+
+fn queue(address: SocketAddr, member: Option<&str>, rid: Option<&str>, as_json: bool) -> Done {
+    let mut client = Client::login(address)?;
+    let (columns, question): (&[&str], String) = match rid {
+        Some(rid) => (&status::STATEMENT, format!("SHOW QUEUE FOR '{rid}'")),
+        None => (&status::DESKS, "SHOW QUEUE".to_owned()),
+    };
+    let rows = match client.ask(&question)? {
+        Answer::Rows(rows) => rows,
+        Answer::Error(..) => return Err(format!("{address} has no queues").into()),
+        other => return Err(format!("{address} answered {other:?}").into()),
+    };
+    let rows: Vec<Vec<String>> = rows
+        .into_iter()
+        .filter(|row| member.is_none_or(|member| row.first().is_some_and(|of| of == member)))
+        .collect();
+    if as_json {
+        let number = |value: &str| value.parse::<f64>().map_or_else(|_| json!(value), |number| json!(number));
+        let object = |row: &Vec<String>| {
+            let fields = columns.iter().zip(row).map(|(name, value)| ((*name).to_owned(), number(value)));
+            Value::Object(fields.collect::<Map<_, _>>())
+        };
+        println!("{}", serde_json::to_string_pretty(&rows.iter().map(object).collect::<Vec<_>>())?);
+        return Ok(());
+    }
+    let width =
+        |at: usize| rows.iter().map(|row| row[at].len()).chain([columns[at].len()]).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..columns.len()).map(width).collect();
+    let head: Vec<String> = columns.iter().map(ToString::to_string).collect();
+    for row in [&head].into_iter().chain(&rows) {
+        let cells = row.iter().zip(&widths).enumerate().map(|(at, (cell, width))| {
+            if at < 2 { format!("{cell:<width$}") } else { format!("{cell:>width$}") }
+        });
+        println!("{}", cells.collect::<Vec<_>>().join("  ").trim_end());
+    }
+    Ok(())
+}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,8 +1,10 @@
 //! The configuration: one JSON file, named by the environment.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
+use operator::{Operator, OperatorError};
+use queues::Terms;
 use serde_json::Value;
 use settings::{Settings, SettingsError};
 use thiserror::Error;
@@ -23,6 +25,37 @@
     Known(#[from] ListError),
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Operator(#[from] OperatorError),
+    #[error("{0}: queues.member.{1}: the configuration knows no such member")]
+    Member(String, String),
+}
+
+/// The operator's file beside the configuration: what of it is in force at this gateway.
+#[derive(Clone, Debug, Default)]
+pub struct Operated {
+    pub file: Option<PathBuf>,
+    /// Budgets as this gateway's part of those of all; nothing where there are no queues.
+    pub queues: Option<Terms>,
+}
+
+impl Operated {
+    /// # Errors
+    /// The file cannot be used, or contradicts the configuration.
+    pub fn read(file: Option<PathBuf>, config: &Config) -> Result<Self, ConfigError> {
+        let Some(path) = file else { return Ok(Operated::default()) };
+        let operator = Operator::read(&path)?;
+        let known = config.settings.tenant_names()?;
+        if let Some(terms) = &operator.queues {
+            let unknown =
+                terms.members.iter().find(|member| !known.is_empty() && !known.contains(&member.name));
+            if let Some(member) = unknown {
+                return Err(ConfigError::Member(path.display().to_string(), member.name.clone()));
+            }
+        }
+        let part = 1.0 / config.settings.peers()?;
+        Ok(Operated { file: Some(path), queues: operator.queues.map(|terms| terms.part(part)) })
+    }
 }
 
 pub struct Config {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,9 +4,11 @@
 pub mod board;
 pub mod clients;
 pub mod clock;
+pub mod command;
 pub mod config;
 pub mod counters;
 pub mod engines;
 pub mod lifecycle;
 pub mod service;
 pub mod socket;
+pub mod status;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -17,7 +17,7 @@
 use crate::board::Board;
 use crate::clients::Clients;
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Config, Operated};
 use crate::engines::Engines;
 use crate::service::Service;
 use crate::socket::{Peer, Ready};
@@ -83,6 +83,7 @@
     /// Where the configuration comes from, and what of it stands; its list has gone to the board.
     source: PathBuf,
     config: Config,
+    operated: Operated,
     longest: Span,
 }
 
@@ -96,7 +97,7 @@
 
 impl Lifecycle {
     /// Makes all parts and tells them what the configuration knows.
-    pub fn start(source: PathBuf, mut config: Config) -> Result<Self, StartError> {
+    pub fn start(source: PathBuf, mut config: Config, operated: Operated) -> Result<Self, StartError> {
         let clock = Clock::start();
         let now = clock.now();
         let event_loop: EventLoop<'static, Ready> = EventLoop::try_new()?;
@@ -109,10 +110,18 @@
         let client_share = (config.sockets as f64 * CLIENT_SHARE) as usize;
         let engine_share = config.sockets.saturating_sub(client_share + OWN_DESCRIPTORS).max(1);
         let unread = (config.memory_mb * UNREAD_SHARE * f64::from(1 << 20)) as usize;
-        let clients = Clients::new(&handle, client_share, unread, now);
+        let clients = Clients::new(&handle, client_share, unread, operated.queues.is_some(), now);
         let engines = Engines::new(&handle, config.settings.links()?, engine_share);
         let board = Board::new(&handle, config.board, config.known.last, now);
-        let mut service = Service::new(now, &config.settings, config.seed, clients, engines, board)?;
+        let mut service = Service::new(
+            now,
+            &config.settings,
+            config.seed,
+            clients,
+            engines,
+            board,
+            operated.queues.as_ref(),
+        )?;
         service.told(now, &std::mem::take(&mut config.known.events));
         info!(name = config.name, "starting");
         Ok(Lifecycle {
@@ -128,6 +137,7 @@
             longest: config.settings.longest_hard_limit()?,
             source,
             config,
+            operated,
         })
     }
 
@@ -220,9 +230,9 @@
                 return;
             }
             match listener.accept() {
-                Ok((stream, _)) => {
+                Ok((stream, from)) => {
                     self.short = false;
-                    clients.accept(now, stream, counters);
+                    clients.accept(now, stream, from.ip(), counters);
                 }
                 Err(error) => match error.kind() {
                     io::ErrorKind::WouldBlock => self.backlog = false,
@@ -271,6 +281,29 @@
                 board.moved(now, config.board, config.known, counters);
             }
         }
+        self.reload_operator(now);
+    }
+
+    /// The operator's file again, whole or not at all. What is off or on stays so: sessions were told at their start.
+    fn reload_operator(&mut self, now: Moment) {
+        let Some(path) = self.operated.file.clone() else { return };
+        match Operated::read(Some(path), &self.config) {
+            Err(error) => {
+                self.service.counters.reloads_failed += 1;
+                warn!(%error, "the operator's file cannot be used; the old one stands");
+            }
+            Ok(operated) => match (&self.operated.queues, &operated.queues) {
+                (Some(old), Some(new)) if old != new => {
+                    info!(members = new.members.len(), desks = new.desks(), "queues: new terms");
+                    self.service.change(now, new);
+                    self.operated = operated;
+                }
+                (Some(_), None) | (None, Some(_)) => {
+                    warn!("queues are switched on and off by a restart only; they stay as they were");
+                }
+                _ => self.operated = operated,
+            },
+        }
     }
 
     fn step(&mut self, now: Moment) -> Result<(), StartError> {
@@ -294,12 +327,14 @@
     }
 
     /// Whatever the log's level: it was asked for.
-    fn print(&self) {
+    fn print(&mut self) {
+        self.service.count();
         let service = &self.service;
         eprintln!(
-            "counters: {}open={} sessions={} engines_open={} engines_benched={} polls_open={}",
+            "counters: {}open={} waiting={} sessions={} engines_open={} engines_benched={} polls_open={}",
             service.counters,
             service.counters.open(),
+            service.waiting(),
             service.clients.len(),
             service.engines.open(),
             service.benched(),
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -2,10 +2,12 @@
 //! that is ready was read. It passes on; it decides nothing.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
 
 use admission::interface::*;
 use bytes::{Bytes, BytesMut};
 use dispatch::{Dispatch, Order, Pick, Verdict, Wants};
+use queues::{DeskId, Directory, Hall, Lines, Terms};
 use settings::{Settings, SettingsError};
 use tracing::{info, warn};
 
@@ -16,6 +18,7 @@
 use crate::counters::Counters;
 use crate::engines::lines::Rid;
 use crate::engines::{Engines, Outgoing, Report};
+use crate::status;
 
 /// Network fact: an answer must be with the client before its budget ends, and the budget runs from when the
 /// client sent. So much is kept for the two ways and for a machine that stands still a moment, and of short
@@ -25,6 +28,11 @@
 /// How long after its hard limit a statement may still be without the decisions' answer, within its budget.
 const OVERDUE_S: f64 = 0.004;
 
+/// How often those that wait are told of their progress, where their client takes it.
+const PROGRESS_S: f64 = 1.0;
+/// Desks that one status shows at most; those where something waits come first.
+const STATUS_ROWS: usize = 1000;
+
 /// How often what the decisions hold is compared with the sockets: far below what a difference could do harm in.
 const CHECK_S: f64 = 0.5;
 
@@ -48,7 +56,9 @@
     pub engines: Engines,
     pub board: Board,
     pub counters: Counters,
-    dispatch: Dispatch,
+    hall: Hall,
+    /// Where there are lines: whose desk a statement waits at.
+    directory: Option<Directory>,
     names: Names,
     products: Vec<String>,
     tenants: Vec<String>,
@@ -57,11 +67,12 @@
     next: u64,
     passing: BTreeMap<StatementId, Passing>,
     /// Their ids as clients gave them: of two with one id an engine's answer could be for either.
-    rids: BTreeSet<Rid>,
+    rids: BTreeMap<Rid, StatementId>,
     /// Ends of all statements not answered yet; leaves with the answer or the client.
     ends: BTreeSet<(Moment, StatementId)>,
     wake: Moment,
     check: Moment,
+    progress: Moment,
     answer_by: Option<Moment>,
     /// A whole list was told: there is something to decide on.
     listed: bool,
@@ -89,13 +100,17 @@
         clients: Clients,
         engines: Engines,
         board: Board,
+        terms: Option<&Terms>,
     ) -> Result<Self, SettingsError> {
+        let (directory, products) = (terms.map(Directory::new), settings.products());
+        let lines = terms.map(|terms| Lines::new(now, terms.clone(), products, seed));
         Ok(Service {
             clients,
             engines,
             board,
             counters: Counters::default(),
-            dispatch: Dispatch::new(settings.policy(seed)?),
+            hall: Hall::new(Dispatch::new(settings.policy(seed)?), lines),
+            directory,
             names: Names::new(settings.location_names(), settings.machine_names()),
             products: settings.product_names()?,
             tenants: settings.tenant_names()?,
@@ -103,10 +118,11 @@
             most_open: settings.most_open()?,
             next: 0,
             passing: BTreeMap::new(),
-            rids: BTreeSet::new(),
+            rids: BTreeMap::new(),
             ends: BTreeSet::new(),
             wake: now,
             check: now,
+            progress: now,
             answer_by: None,
             listed: false,
         })
@@ -117,11 +133,35 @@
             let told = self.names.told(change);
             info!(whole = change.whole, engines = change.targets.len(), "list");
             told.addresses.into_iter().for_each(|(id, address)| self.engines.listed(id, address));
-            self.dispatch.told_list(now, &told.news);
+            self.hall.told_list(now, &told.news);
             self.listed |= change.whole;
         }
     }
 
+    /// Other terms for what waits, in the file's own budgets as this gateway's part.
+    pub fn change(&mut self, now: Moment, terms: &Terms) {
+        self.directory = Some(Directory::new(terms));
+        self.hall.change(now, terms.clone());
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.hall.waiting()
+    }
+
+    /// The lines keep their own count.
+    pub fn count(&mut self) {
+        let (tally, counters) = (self.hall.tally(), &mut self.counters);
+        counters.queue_entered = tally.entered;
+        counters.queue_turned_away = tally.turned_away;
+        counters.queue_displaced = tally.displaced;
+        counters.queue_released = tally.released;
+        counters.queue_denied = tally.denied;
+        counters.queue_left = tally.left;
+        counters.queue_refused = tally.refused;
+        counters.queue_told_well = tally.told_well;
+        counters.queue_longest_passed_ms = (self.hall.longest_passed().secs() * 1e3) as u64;
+    }
+
     pub fn can_decide(&self) -> bool {
         self.listed
     }
@@ -132,7 +172,7 @@
         let last = by + Span::from_secs(OVERDUE_S);
         self.passing.values_mut().for_each(|passing| passing.ends = passing.ends.min(last));
         self.ends = std::mem::take(&mut self.ends).into_iter().map(|(end, id)| (end.min(last), id)).collect();
-        self.dispatch.answer_by(by);
+        self.hall.answer_by(by);
         self.engines.end_by(by);
     }
 
@@ -164,11 +204,15 @@
             }
             news.into_iter().for_each(|news| self.heard(now, news));
         }
-        let tick = self.dispatch.tick(now);
+        let tick = self.hall.tick(now);
         tick.due.into_iter().for_each(|(id, pick)| self.picked(now, id, pick));
         // What could not even be sent is back in line by now, and what stood behind an answer was read.
         let again = self.reports(now) || self.clients.has_news();
         self.overdue(now);
+        if self.progress <= now && self.directory.is_some() {
+            self.progress = now + Span::from_secs(PROGRESS_S);
+            self.tell_progress(now);
+        }
         if self.check <= now {
             self.check = now + Span::from_secs(CHECK_S);
             self.compare();
@@ -179,7 +223,7 @@
     /// Statements in flight as the decisions hold them, against what is out on the sockets. A difference would have
     /// them send to the wrong engine for ever after, with nothing else to show it.
     fn compare(&mut self) {
-        let held = self.dispatch.beliefs().filter(|held| held.1 > 0).map(|(engine, out, _)| (engine, out));
+        let held = self.hall.beliefs().filter(|held| held.1 > 0).map(|(engine, out, _)| (engine, out));
         let (held, out) = (held.collect::<BTreeMap<_, _>>(), self.engines.out());
         self.counters.books_checked += 1;
         if held != out {
@@ -190,7 +234,7 @@
 
     /// Engines left out at present.
     pub fn benched(&self) -> usize {
-        self.dispatch.beliefs().filter(|held| held.2).count()
+        self.hall.beliefs().filter(|held| held.2).count()
     }
 
     /// The last guard of one answer before the budget ends, whatever went wrong before it. Never seen to act;
@@ -203,7 +247,7 @@
             let engines = self.engines.stand(id);
             warn!(rid, late, out = ?passing.out, engines, "a statement without an answer at its end");
             self.counters.overdue += 1;
-            self.dispatch.gone(id);
+            self.hall.gone(now, id);
             self.scrap(now, id);
             self.forget(id);
         }
@@ -238,7 +282,7 @@
             self.counters.completed += 1;
             self.answer(now, id, |answer| answer.result(pages.iter().map(|page| &page[..])));
         }
-        match self.dispatch.report(now, id, report.relay, news, report.latency, completed) {
+        match self.hall.report(now, id, report.relay, news, report.latency, completed) {
             Verdict::Nothing => {}
             Verdict::Cancel(relay) => self.engines.cancel(now, id, relay, &mut self.counters),
             Verdict::Deny { come_back } => self.deny(now, id, come_back),
@@ -249,7 +293,12 @@
 
     fn heard(&mut self, now: Moment, news: clients::News) {
         match news {
-            clients::News::Asked { session, text } => self.asked(now, session, &text),
+            clients::News::Asked { session, text, from } => self.asked(now, session, &text, from),
+            // Without lines it is a query like any other that cannot be used.
+            clients::News::Queue { session, text, .. } if self.directory.is_none() => {
+                self.asked(now, session, &text, IpAddr::from([0; 4]));
+            }
+            clients::News::Queue { session, id, .. } => self.tell_queue(now, session, id),
             clients::News::Left(id) => self.left(now, id),
             clients::News::Kill { by, session, whole } => {
                 let killed = self.clients.kill(now, session, whole, &mut self.counters);
@@ -268,13 +317,38 @@
         self.counters.client_left += 1;
         self.ends.remove(&(passing.ends, id));
         let out = passing.out.clone();
-        self.dispatch.gone(id);
+        self.hall.gone(now, id);
         out.into_iter().for_each(|relay| self.engines.unwanted(now, id, relay, &mut self.counters));
         self.forget(id);
     }
 
-    fn asked(&mut self, now: Moment, session: u32, text: &Bytes) {
-        let (wants, rid, statement) = match self.wants(text) {
+    fn tell_progress(&mut self, now: Moment) {
+        for (session, id) in self.clients.progressing() {
+            let Some((waited, left)) = self.hall.progress(now, id) else { continue };
+            let whole = waited.secs() + left.wait.secs();
+            let done = if whole > 0.0 { waited.secs() / whole * 1e5 } else { 0.0 };
+            let text = format!("Waiting, {:.1} s more", left.wait.secs());
+            self.clients.tell_progress(now, session, done as u32, &text, &mut self.counters);
+        }
+    }
+
+    fn tell_queue(&mut self, now: Moment, session: u32, id: Option<String>) {
+        self.counters.statuses_told += 1;
+        let Some(id) = id else {
+            let rows = status::desks(&self.hall.status(now, STATUS_ROWS).unwrap_or_default());
+            let table = |answer: Answer| answer.table(status::DESKS, &rows);
+            self.clients.answer(now, session, &mut self.counters, table);
+            return;
+        };
+        let statement = Rid::try_from(id.as_bytes()).ok().and_then(|rid| self.rids.get(&rid)).copied();
+        let row = statement.and_then(|statement| self.hall.statement(now, statement));
+        let rows: Vec<_> = row.iter().map(|row| status::statement(&id, row)).collect();
+        let table = |answer: Answer| answer.table(status::STATEMENT, &rows);
+        self.clients.answer(now, session, &mut self.counters, table);
+    }
+
+    fn asked(&mut self, now: Moment, session: u32, text: &Bytes, from: IpAddr) {
+        let (wants, rid, statement, desk) = match self.wants(text, from) {
             Ok(usable) => usable,
             Err(why) => {
                 self.counters.statements_unusable += 1;
@@ -295,14 +369,14 @@
         let (out, went_on) = (Vec::new(), Vec::new());
         let passing = Passing { session, rid, product, text: statement, answered: false, ends, out, went_on };
         self.passing.insert(id, passing);
-        self.rids.insert(rid);
+        self.rids.insert(rid, id);
         self.clients.took(session, id);
-        let pick = self.dispatch.pick(now, id, &wants);
+        let pick = self.hall.pick(now, id, desk, &wants);
         self.picked(now, id, pick);
     }
 
     /// Takes out what the decisions need, and checks it: nothing unusable may reach an engine.
-    fn wants(&self, text: &Bytes) -> Result<(Wants, Rid, Bytes), Unusable> {
+    fn wants(&mut self, text: &Bytes, from: IpAddr) -> Result<(Wants, Rid, Bytes, DeskId), Unusable> {
         let read = comment::read(text)?;
         let named = |names: &[String], name: &str| names.iter().position(|known| known == name);
         let product = named(&self.products, read.product).ok_or("unknown method")?;
@@ -310,12 +384,16 @@
             Some(name) if !self.tenants.is_empty() => named(&self.tenants, name).ok_or("unknown acct")?,
             _ => 0,
         };
-        if self.rids.contains(&read.rid) {
+        if self.rids.contains_key(&read.rid) {
             return Err("rid of a statement that is still open".into());
         }
         if self.passing.len() >= self.most_open {
             return Err(Unusable::Full);
         }
+        let found =
+            self.directory.as_ref().map(|directory| directory.find(read.tenant, read.desk, Some(from)));
+        self.counters.desks_unknown += u64::from(found.is_some_and(|found| !found.known));
+        let desk = found.map_or(DeskId(0), |found| found.desk);
         let budget_s = read.budget_ms / 1e3;
         let budget = Span::from_secs(budget_s - WAYS_S.min(budget_s * WAYS_PART));
         let wants = Wants {
@@ -327,7 +405,7 @@
             key: None,
             budget,
         };
-        Ok((wants, read.rid, text.slice_ref(read.statement)))
+        Ok((wants, read.rid, text.slice_ref(read.statement), desk))
     }
 
     fn picked(&mut self, now: Moment, id: StatementId, pick: Pick) {
--- /dev/null
+++ b/crates/gateway/src/status.rs
@@ -0,0 +1,55 @@
+//! What waits, as rows: the same for the status query and for the command line that asks it.
+
+use queues::{DeskStatus, Estimate, StatementStatus};
+
+/// Columns of `SHOW QUEUE`.
+pub const DESKS: [&str; 10] = [
+    "member",
+    "desk",
+    "waiting",
+    "waiting_cpu_s",
+    "budget_cpu_s_per_s",
+    "rate_cpu_s_per_s",
+    "saved_cpu_s",
+    "longest_ms",
+    "next_wait_ms",
+    "next_wait_p90_ms",
+];
+
+/// Columns of `SHOW QUEUE FOR 'RID'`; no row where it does not wait.
+pub const STATEMENT: [&str; 7] = ["rid", "member", "desk", "ahead", "waited_ms", "wait_ms", "wait_p90_ms"];
+
+fn ms(secs: f64) -> String {
+    format!("{}", (secs * 1e3).round())
+}
+
+/// For the product whose next statement would wait longest.
+fn longest(of: &[Estimate]) -> Estimate {
+    of.iter().copied().max_by(|a, b| a.wait.cmp(&b.wait)).unwrap_or_default()
+}
+
+pub fn desks(of: &[DeskStatus]) -> Vec<[String; DESKS.len()]> {
+    let row = |desk: &DeskStatus| {
+        let next = longest(&desk.next);
+        [
+            desk.member.clone(),
+            desk.desk.clone(),
+            desk.waiting.to_string(),
+            format!("{:.3}", desk.cpu),
+            format!("{:.3}", desk.budget),
+            desk.rate.map_or("-".to_owned(), |rate| format!("{rate:.3}")),
+            format!("{:.3}", desk.saved),
+            ms(desk.longest.secs()),
+            ms(next.wait.secs()),
+            ms(next.p90.secs()),
+        ]
+    };
+    of.iter().map(row).collect()
+}
+
+pub fn statement(rid: &str, of: &StatementStatus) -> [String; STATEMENT.len()] {
+    let (waited, left) = (of.waited.secs(), of.left);
+    let (member, desk) = (of.member.clone(), of.desk.clone());
+    let [waited, wait, p90] = [waited, left.wait.secs(), left.p90.secs()].map(ms);
+    [rid.to_owned(), member, desk, of.ahead.to_string(), waited, wait, p90]
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -150,7 +150,7 @@
             over_gain: self.number("OverShareWorth")?.unwrap_or(1.0),
         };
         let fleet = Fleet {
-            peers: self.need::<u32>("PeersTotal")?.max(1).into(),
+            peers: self.peers()?,
             cores: self.numbers("Extra.KindCores")?,
             memory_mb: self.numbers("Extra.MemoryByKindMb")?,
             note_pace: self.span("Extra.ProgressPaceS")?.filter(|pace| *pace > Span::ZERO),
@@ -228,6 +228,11 @@
         (0..self.products()).map(limit).try_fold(Span::ZERO, |most, limit| Ok(most.max(limit?)))
     }
 
+    /// Gateways before the same engines, this one among them.
+    pub fn peers(&self) -> Result<f64, SettingsError> {
+        Ok(self.need::<u32>("PeersTotal")?.max(1).into())
+    }
+
     /// Statements in hand at the same time.
     pub fn most_open(&self) -> Result<usize, SettingsError> {
         Ok(self.may("Limits.MaxOpen")?.unwrap_or(usize::MAX))
