--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -107,7 +107,7 @@
     println!("configuration {}: gateway {}, listens on {}", path.display(), config.name, config.listen);
     println!("  products: {}", config.settings.product_names()?.join(", "));
     println!("  members: {}", config.settings.tenant_names()?.join(", "));
-    let file = operator.as_deref().map_or("no operator's file".to_owned(), |file| shown(file));
+    let file = operator.as_deref().map_or("no operator's file".to_owned(), shown);
     let operated = Operated::read(operator, &config)?;
     let Some(terms) = operated.queues else {
         println!("{file}: queues are off");
--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -1,154 +1,22 @@
 //! The gateway as a process on loopback, between our own stand-ins for clients, engines and notice board.
 
+mod support;
+
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use toy::board::{self, Board, target};
 use toy::client::{Answer, Client, login_packet, packet, query_packet};
-use toy::engine::{Engine, GARBAGE, Mood};
-
-/// A gateway, ended with the test whatever became of it.
-struct Gateway {
-    child: Child,
-    config: std::path::PathBuf,
-    listen: SocketAddr,
-    board: Board,
-}
-
-static RUNS: AtomicU32 = AtomicU32::new(0);
-
-fn millis(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-/// An address of this run's own: a port that was free a moment ago may be another test's by now.
-fn free_address() -> SocketAddr {
-    let [high, low] = (1 + RUNS.fetch_add(1, Ordering::Relaxed) as u16).to_be_bytes();
-    let run = 64 + (std::process::id() % 128) as u8;
-    SocketAddr::from(([127, run, high, low], 7000))
-}
-
-fn engine(delay_ms: u64) -> Engine {
-    Engine::start("127.0.0.1:0", millis(delay_ms)).unwrap()
-}
-
-fn spawn(config: &std::path::Path) -> Child {
-    let program = env!("CARGO_BIN_EXE_laurelhitch");
-    Command::new(program).env("RELAY_CONFIG", config).stderr(Stdio::piped()).spawn().unwrap()
-}
-
-impl Gateway {
-    fn before(engines: &[SocketAddr]) -> Self {
-        Self::with(engines, |_| {})
-    }
-
-    /// Starts one that knows these engines, and waits until it answers.
-    fn with(engines: &[SocketAddr], change: impl FnOnce(&mut Value)) -> Self {
-        Self::by(spawn, engines, change)
-    }
-
-    fn by(
-        spawn: fn(&std::path::Path) -> Child,
-        engines: &[SocketAddr],
-        change: impl FnOnce(&mut Value),
-    ) -> Self {
-        let (board, listen) = (Board::start("127.0.0.1:0").unwrap(), free_address());
-        let names = engines.iter().enumerate();
-        let targets = names.map(|(at, address)| target(&format!("e-{at}"), *address, "in_service"));
-        board.tell(true, targets.collect());
-        let mut config: Value = serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
-        config["listen"] = json!(listen.to_string());
-        config["board"] = json!(board.address.to_string());
-        config["known"] = board.known();
-        change(&mut config);
-        let run = RUNS.fetch_add(1, Ordering::Relaxed);
-        let path = std::env::temp_dir().join(format!("laurelhitch-{}-{run}.json", std::process::id()));
-        std::fs::write(&path, config.to_string()).unwrap();
-        let gateway = Gateway { child: spawn(&path), config: path, listen, board };
-        gateway.wait_ready();
-        gateway
-    }
-
-    fn wait_ready(&self) {
-        let until = Instant::now() + millis(10_000);
-        while Client::login(self.listen).and_then(|mut client| client.ping()).is_err() {
-            assert!(Instant::now() < until, "never ready");
-            sleep(millis(10));
-        }
-    }
-
-    fn client(&self) -> Client {
-        Client::login(self.listen).unwrap()
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).unwrap();
-    }
-
-    /// Its end, and all it logged.
-    fn end(mut self, within: Duration) -> (ExitStatus, String) {
-        let until = Instant::now() + within;
-        let status = loop {
-            if let Some(status) = self.child.try_wait().unwrap() {
-                break status;
-            }
-            assert!(Instant::now() < until, "still running");
-            sleep(millis(5));
-        };
-        let mut log = String::new();
-        self.child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
-        (status, log)
-    }
-}
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
-    }
-}
-
-fn commented(budget_ms: u64, statement: &str) -> String {
-    let rid = RUNS.fetch_add(1, Ordering::Relaxed);
-    format!("/* method=point,rid={rid:016x},budget={budget_ms},acct=water,est=12.0,mem=8 */ {statement}")
-}
-
-fn rows(answer: Answer) -> Vec<Vec<String>> {
-    let Answer::Rows(rows) = answer else { panic!("{answer:?}") };
-    rows
-}
+use toy::engine::{GARBAGE, Mood};
 
-fn denied(answer: &Answer) -> bool {
-    matches!(answer, Answer::Error(1226, text) if text.contains("backoff=400"))
-}
-
-/// A number out of the counters' last line.
-fn counter(log: &str, name: &str) -> i64 {
-    let line = log.lines().rfind(|line| line.contains("counters:")).expect("no counters");
-    let word = line.split(' ').find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
-    word.and_then(|number| number.parse().ok()).unwrap_or_else(|| panic!("no {name} in {line}"))
-}
-
-fn add_up(log: &str) {
-    let sum = |names: &[&str]| names.iter().map(|name| counter(log, name)).sum::<i64>();
-    assert_eq!((counter(log, "overdue"), counter(log, "books_differ")), (0, 0), "{log}");
-    let ends = ["completed", "denied", "scrapped", "client_left", "open"];
-    assert_eq!(counter(log, "statements_taken"), sum(&ends), "{log}");
-    let relays =
-        ["done", "full", "past", "error", "timed_out", "unreachable", "reset", "cancelled", "unsent"];
-    let relays: Vec<String> = relays.iter().map(|name| format!("relays_{name}")).collect();
-    let relays: Vec<&str> = relays.iter().map(String::as_str).collect();
-    assert!(counter(log, "relays_sent") >= sum(&relays), "{log}");
-}
+use support::*;
 
 #[test]
 fn rows_come_back_whole_and_in_order() {
@@ -849,7 +717,7 @@
         shell.args(["-c", &command]).env("RELAY_CONFIG", config).stderr(Stdio::piped()).spawn().unwrap()
     }
     let engine = engine(1);
-    let gateway = Gateway::by(spawn_short, &[engine.address], |_| {});
+    let gateway = Gateway::by(spawn_short, &[engine.address], "", |_| {});
     let mut first = gateway.client();
     let _more: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(gateway.listen).unwrap()).collect();
     sleep(millis(300));
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,169 @@
+//! A gateway process between our own stand-ins, for all tests on sockets.
+#![allow(dead_code)]
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use toy::board::{Board, target};
+use toy::client::{Answer, Client};
+use toy::engine::Engine;
+
+/// A gateway, ended with the test whatever became of it.
+pub struct Gateway {
+    pub child: Child,
+    pub config: PathBuf,
+    pub listen: SocketAddr,
+    pub board: Board,
+}
+
+pub static RUNS: AtomicU32 = AtomicU32::new(0);
+
+pub fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// An address of this run's own: a port that was free a moment ago may be another test's by now.
+pub fn free_address() -> SocketAddr {
+    let [high, low] = (1 + RUNS.fetch_add(1, Ordering::Relaxed) as u16).to_be_bytes();
+    let run = 64 + (std::process::id() % 128) as u8;
+    SocketAddr::from(([127, run, high, low], 7000))
+}
+
+pub fn engine(delay_ms: u64) -> Engine {
+    Engine::start("127.0.0.1:0", millis(delay_ms)).unwrap()
+}
+
+pub fn spawn(config: &Path) -> Child {
+    let program = env!("CARGO_BIN_EXE_laurelhitch");
+    let mut command = Command::new(program);
+    command.env("RELAY_CONFIG", config).env_remove("LAURELHITCH_OPERATOR").stderr(Stdio::piped());
+    // The operator's file of this run, if it has one.
+    let operator = config.with_extension("hcl");
+    if operator.exists() {
+        command.arg("--operator").arg(operator);
+    }
+    command.spawn().unwrap()
+}
+
+impl Gateway {
+    pub fn before(engines: &[SocketAddr]) -> Self {
+        Self::with(engines, |_| {})
+    }
+
+    /// Starts one that knows these engines, and waits until it answers.
+    pub fn with(engines: &[SocketAddr], change: impl FnOnce(&mut Value)) -> Self {
+        Self::by(spawn, engines, "", change)
+    }
+
+    /// The same with an operator's file.
+    pub fn operated(engines: &[SocketAddr], operator: &str, change: impl FnOnce(&mut Value)) -> Self {
+        Self::by(spawn, engines, operator, change)
+    }
+
+    pub fn by(
+        spawn: fn(&Path) -> Child,
+        engines: &[SocketAddr],
+        operator: &str,
+        change: impl FnOnce(&mut Value),
+    ) -> Self {
+        let (board, listen) = (Board::start("127.0.0.1:0").unwrap(), free_address());
+        let names = engines.iter().enumerate();
+        let targets = names.map(|(at, address)| target(&format!("e-{at}"), *address, "in_service"));
+        board.tell(true, targets.collect());
+        let mut config: Value =
+            serde_json::from_str(include_str!("../../../../examples/config.json")).unwrap();
+        config["listen"] = json!(listen.to_string());
+        config["board"] = json!(board.address.to_string());
+        config["known"] = board.known();
+        change(&mut config);
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("laurelhitch-{}-{run}.json", std::process::id()));
+        std::fs::write(&path, config.to_string()).unwrap();
+        if !operator.is_empty() {
+            std::fs::write(path.with_extension("hcl"), operator).unwrap();
+        }
+        let gateway = Gateway { child: spawn(&path), config: path, listen, board };
+        gateway.wait_ready();
+        gateway
+    }
+
+    pub fn wait_ready(&self) {
+        let until = Instant::now() + millis(10_000);
+        while Client::login(self.listen).and_then(|mut client| client.ping()).is_err() {
+            assert!(Instant::now() < until, "never ready");
+            sleep(millis(10));
+        }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::login(self.listen).unwrap()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Its end, and all it logged.
+    pub fn end(mut self, within: Duration) -> (ExitStatus, String) {
+        let until = Instant::now() + within;
+        let status = loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                break status;
+            }
+            assert!(Instant::now() < until, "still running");
+            sleep(millis(5));
+        };
+        let mut log = String::new();
+        self.child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+        (status, log)
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(self.config.with_extension("hcl"));
+    }
+}
+
+pub fn commented(budget_ms: u64, statement: &str) -> String {
+    let rid = RUNS.fetch_add(1, Ordering::Relaxed);
+    format!("/* method=point,rid={rid:016x},budget={budget_ms},acct=water,est=12.0,mem=8 */ {statement}")
+}
+
+pub fn rows(answer: Answer) -> Vec<Vec<String>> {
+    let Answer::Rows(rows) = answer else { panic!("{answer:?}") };
+    rows
+}
+
+pub fn denied(answer: &Answer) -> bool {
+    matches!(answer, Answer::Error(1226, text) if text.contains("backoff=400"))
+}
+
+/// A number out of the counters' last line.
+pub fn counter(log: &str, name: &str) -> i64 {
+    let line = log.lines().rfind(|line| line.contains("counters:")).expect("no counters");
+    let word = line.split(' ').find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+    word.and_then(|number| number.parse().ok()).unwrap_or_else(|| panic!("no {name} in {line}"))
+}
+
+pub fn add_up(log: &str) {
+    let sum = |names: &[&str]| names.iter().map(|name| counter(log, name)).sum::<i64>();
+    assert_eq!((counter(log, "overdue"), counter(log, "books_differ")), (0, 0), "{log}");
+    let ends = ["completed", "denied", "scrapped", "client_left", "open"];
+    assert_eq!(counter(log, "statements_taken"), sum(&ends), "{log}");
+    let relays =
+        ["done", "full", "past", "error", "timed_out", "unreachable", "reset", "cancelled", "unsent"];
+    let relays: Vec<String> = relays.iter().map(|name| format!("relays_{name}")).collect();
+    let relays: Vec<&str> = relays.iter().map(String::as_str).collect();
+    assert!(counter(log, "relays_sent") >= sum(&relays), "{log}");
+}
