Budgets go by this gateway's part: faster while it carries more than its share

Cause: with a peer away a gateway carries half as much again; every member stands over its part of a budget of all gateways, and what is lent takes spare room only.

Change: the module tells what it carries (its own measure, from allowances), and the time that budgets go by runs faster by that. The emulator knows gateways that are away, and allowances.

--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -405,6 +405,11 @@
         Answer::Deny { come_back: come_back.map(|longest| back.max(Span::from_secs(0.02)).min(longest)) }
     }
 
+    /// What this gateway carries, in shares of one, as far as tenants and allowances tell.
+    pub fn carries(&self) -> f64 {
+        self.lopsided
+    }
+
     /// Cores of the engines in use, as this gateway's share of what they can do now; most benched, all are in use.
     pub fn capacity(&self, now: Moment) -> f64 {
         let ready = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -174,6 +174,11 @@
         self.hand.contains_key(&id)
     }
 
+    /// What this gateway carries, in shares of one; more than one where a peer is away.
+    pub fn carries(&self) -> f64 {
+        self.policy.carries()
+    }
+
     /// Cores of the engines in use, as this gateway's share.
     pub fn capacity(&self, now: Moment) -> f64 {
         self.policy.capacity(now)
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -26,6 +26,8 @@
 const COME_BACK_S: f64 = 0.5;
 const DRAIN_GRACE_S: f64 = 0.25;
 const ANSWER_GRACE_S: f64 = 0.02;
+/// Part of a statement's gain where its member is over its allowance.
+const OVER_GAIN: f64 = 0.05;
 const RATION: (f64, f64, f64) = (20.0, 0.25, 10.0);
 /// Fairness is looked at over spans of this length.
 const SPAN_S: f64 = 5.0;
@@ -60,6 +62,7 @@
 struct Gateway {
     front: Front,
     delay: f64,
+    away: bool,
     tick: f64,
     turn: u64,
     plain: BTreeMap<(u32, usize), Plain>,
@@ -171,7 +174,13 @@
     };
     let listing = Listing { on_request: false, ask_within: Span::from_secs(10.0) };
     let products = scenario.product.values().map(product).collect();
-    Module::new(seed, products, Tenancy::default(), fleet, Some(cold), relaying, listing)
+    let tenancy = scenario.allowance_times.map_or_else(Tenancy::default, |times| {
+        let usual = |desks: &std::collections::BTreeMap<String, crate::scenario::Traffic>| {
+            desks.values().flat_map(|of| of.per_s.values()).sum::<f64>() * times
+        };
+        Tenancy { allowances: scenario.traffic.values().map(usual).collect(), over_gain: OVER_GAIN }
+    });
+    Module::new(seed, products, tenancy, fleet, Some(cold), relaying, listing)
 }
 
 /// The day's wishes, drawn before anything is decided, so that every policy meets the same.
@@ -254,7 +263,7 @@
             let dispatch = Dispatch::new(module(scenario, seed));
             let front = Front::new(policy, dispatch, own.as_ref(), products, seed);
             let delay = scenario.list_delay_ms / 1e3 * rng.random_range(0.2..1.0);
-            Gateway { front, delay, tick: f64::INFINITY, turn: 0, plain: BTreeMap::new() }
+            Gateway { front, delay, away: false, tick: f64::INFINITY, turn: 0, plain: BTreeMap::new() }
         });
         let gateways: Vec<_> = gateways.collect();
         let ration = Some(RATION);
@@ -396,12 +405,15 @@
 
     fn trouble(&mut self, at: usize, begins: bool) {
         let (kind, trouble) = self.troubles[at].clone();
+        if kind == Kind::Away {
+            trouble.gateways.iter().for_each(|gateway| self.gateways[*gateway].away = begins);
+        }
         for engine in trouble.engines {
             let of = &mut self.engines[engine];
             of.advance(self.now);
             of.turn += 1;
             match (kind, begins) {
-                (Kind::Flood, _) => {}
+                (Kind::Flood | Kind::Away, _) => {}
                 (Kind::Slow, _) => of.slow = if begins { trouble.times.max(1.0) } else { 1.0 },
                 (Kind::Pause, _) => of.state = if begins { State::Paused } else { State::Well },
                 (Kind::Fail, _) => of.state = if begins { State::Failing } else { State::Well },
@@ -458,14 +470,18 @@
         self.wishes[at].tries -= 1;
         let statement = self.statements.len();
         let id = StatementId(statement as u64);
-        let gateway = wish.gateway;
+        let count = self.gateways.len();
+        let mut gateway = wish.gateway;
+        for _ in 0..count {
+            gateway = if self.gateways[gateway].away { (gateway + 1) % count } else { gateway };
+        }
         self.statements.push(Statement { wish: at, gateway, taken: now, out: None, answered: false });
         self.figures.statements += 1;
         let seen = Seen::new(gateway, wish.ends, product.unrepeatable, wish.key, product.zone);
         self.rules.took(now, statement as u64, seen);
         let wants = Wants {
             product: ProductId(wish.product),
-            tenant: TenantId(0),
+            tenant: TenantId(wish.member),
             group: GroupId(wish.group),
             estimate: Some(Span::from_secs(wish.estimate)),
             memory_mb: product.memory_mb,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -25,6 +25,8 @@
     /// List news reach each gateway this late at most.
     #[serde(default = "two_seconds")]
     pub list_delay_ms: f64,
+    /// Members are allowed this many times their usual statements a second; none: no allowances.
+    pub allowance_times: Option<f64>,
     pub engines: Engines,
     pub product: BTreeMap<String, Product>,
     /// By member, then desk.
@@ -127,6 +129,9 @@
     /// By number; for a flood, none.
     #[serde(default)]
     pub engines: Vec<usize>,
+    /// Gateways that are away: their clients go to the next one.
+    #[serde(default)]
+    pub gateways: Vec<usize>,
     /// Of a flood: which traffic; all of it where not named.
     pub member: Option<String>,
     pub product: Option<String>,
@@ -147,6 +152,8 @@
     /// Answers all with an error at once.
     Fail,
     Slow,
+    /// Gateways, not engines; what they hold they finish.
+    Away,
     /// Dies with all it has, and comes back cold after the time.
     Restart,
 }
@@ -202,6 +209,7 @@
                 "fail" => Kind::Fail,
                 "slow" => Kind::Slow,
                 "restart" => Kind::Restart,
+                "away" => Kind::Away,
                 other => return Err(format!("script: unknown kind {other}")),
             };
             match several {
--- a/crates/queues/src/hall.rs
+++ b/crates/queues/src/hall.rs
@@ -111,7 +111,7 @@
         let Some(lines) = &mut self.lines else { return self.dispatch.tick(now) };
         let mut due = std::mem::take(&mut self.owed);
         self.waits.clear();
-        lines.round(now, self.dispatch.capacity(now));
+        lines.round(now, self.dispatch.capacity(now), self.dispatch.carries());
         for place in lines.past(now) {
             let last = Offer { place, lent: false };
             offer(&mut self.dispatch, lines, &mut self.waits, &mut self.tally, now, last, &mut due);
--- a/crates/queues/src/lines.rs
+++ b/crates/queues/src/lines.rs
@@ -5,7 +5,7 @@
 
 use admission::interface::*;
 
-use crate::budget::{Account, Paid};
+use crate::budget::{Account, Paid, Till};
 use crate::order::{Arena, Frontier, Need, Root};
 use crate::pace::{Estimate, Pace, Record};
 use crate::terms::{DeskId, MemberId, Terms};
@@ -233,6 +233,7 @@
     count: u32,
     cpu: f64,
     cores: f64,
+    till: Till,
     now: Moment,
 }
 
@@ -267,6 +268,7 @@
             count: 0,
             cpu: 0.0,
             cores: 1.0,
+            till: Till::new(now),
             now,
             terms,
         };
@@ -274,8 +276,13 @@
         lines
     }
 
+    fn at(&mut self, now: Moment) {
+        self.now = now;
+        self.till.go_on(now);
+    }
+
     fn lay_out(&mut self) {
-        let (now, lanes, burst) = (self.now, self.products, self.terms.burst);
+        let (now, till, lanes, burst) = (self.now, self.till, self.products, self.terms.burst);
         for terms in &self.terms.members {
             let member = self.members.len() as u32;
             let first = self.desks.len() as u32;
@@ -283,7 +290,7 @@
                 self.desks.push(Desk {
                     name: desk.name.clone(),
                     member,
-                    account: Account::new(now, desk.claim, burst),
+                    account: Account::new(till, desk.claim, burst),
                     roots: vec![Root::default(); lanes],
                     shown: vec![None; lanes],
                     paces: vec![Pace::new(now); self.products],
@@ -295,7 +302,7 @@
             }
             self.members.push(Member {
                 name: terms.name.clone(),
-                account: Account::new(now, terms.claim, burst),
+                account: Account::new(till, terms.claim, burst),
                 ranks: vec![Ranks::default(); lanes],
                 shown: vec![None; lanes],
                 lent_now: 0.0,
@@ -327,8 +334,10 @@
     }
 
     /// Time goes on: accounts fill, and a new round of asking begins. `cores`: what engines in use have, as this
-    /// gateway's share; estimates follow it at once.
-    pub fn round(&mut self, now: Moment, cores: f64) {
+    /// gateway's share; estimates follow it at once. `carries`: its part of the traffic over that share; budgets follow.
+    pub fn round(&mut self, now: Moment, cores: f64, carries: f64) {
+        self.till.go_on(now);
+        self.till.stretch(carries);
         if (cores - self.cores).abs() > 1e-9 {
             // What passed up to now passed with the cores of before.
             let before = std::mem::replace(&mut self.cores, cores);
@@ -338,7 +347,7 @@
             }
             self.whole.advance(now, before);
         }
-        self.now = now;
+        self.at(now);
         while let Some((at, team)) = self.refills.first().copied().filter(|(at, _)| *at <= now) {
             self.refills.remove(&(at, team));
             self.refill_at.remove(&team);
@@ -358,12 +367,12 @@
 
     /// Whether a statement of this cost that comes now would wait for what other members lend.
     pub fn would_be_lent(&mut self, now: Moment, desk: DeskId, cpu: f64) -> bool {
-        self.now = now;
+        self.at(now);
         self.lent(desk.0.min(self.desks.len() as u32 - 1), cpu)
     }
 
     pub fn enter(&mut self, now: Moment, entry: &Entry) -> Entering {
-        self.now = now;
+        self.at(now);
         let lane = entry.product.0;
         let desk = entry.desk.0.min(self.desks.len() as u32 - 1);
         let usual = &mut self.usual[entry.product.0];
@@ -489,7 +498,7 @@
     fn lent(&mut self, desk: u32, cpu: f64) -> bool {
         let of = &mut self.desks[desk as usize];
         let holder = &mut self.members[of.member as usize].account;
-        let owed = of.account.owes(self.now, cpu) || holder.owes(self.now, cpu);
+        let owed = of.account.owes(self.till, cpu) || holder.owes(self.till, cpu);
         self.members.len() > 1 && !owed
     }
 
@@ -553,7 +562,7 @@
 
     /// It goes to an engine: its wait is over, and its team pays.
     pub fn released(&mut self, now: Moment, id: StatementId, charge: f64) -> Option<Wait> {
-        self.now = now;
+        self.at(now);
         let waiter = self.take_out(id)?;
         let product = waiter.lane;
         let real = now - waiter.entered;
@@ -577,11 +586,12 @@
             self.passed.insert((now, waiter.desk));
             self.desks[waiter.desk as usize].passed_since = Some(now);
         }
-        self.pay(now, id, waiter.desk, charge);
+        self.pay(id, waiter.desk, charge);
         Some(waiter.wait(now, id))
     }
 
-    fn pay(&mut self, now: Moment, id: StatementId, desk: u32, cpu: f64) {
+    fn pay(&mut self, id: StatementId, desk: u32, cpu: f64) {
+        let now = self.till;
         let of = &mut self.desks[desk as usize];
         let member = of.member;
         let holder = &mut self.members[member as usize];
@@ -602,20 +612,20 @@
 
     /// One more relay of a statement that was released before: its team pays for that too.
     pub fn repeated(&mut self, now: Moment, id: StatementId, cpu: f64) {
-        self.now = now;
+        self.at(now);
         if let Some(charge) = self.charges.remove(&id) {
-            self.pay(now, id, charge.desk, cpu);
+            self.pay(id, charge.desk, cpu);
         }
     }
 
     /// What a relay came to: `Some` CPU seconds where told, zero where it is known not to have run.
     pub fn came_to(&mut self, now: Moment, id: StatementId, cpu: Option<f64>) {
-        self.now = now;
+        self.at(now);
         let (Some(charge), Some(cpu)) = (self.charges.get_mut(&id), cpu) else { return };
         let more = cpu - std::mem::replace(&mut charge.cpu, cpu);
         let charge = *charge;
-        self.members[charge.member as usize].account.correct(now, charge.by.0, more);
-        self.desks[charge.desk as usize].account.correct(now, charge.by.1, more);
+        self.members[charge.member as usize].account.correct(self.till, charge.by.0, more);
+        self.desks[charge.desk as usize].account.correct(self.till, charge.by.1, more);
         self.show_desk(charge.desk);
     }
 
@@ -626,7 +636,7 @@
 
     /// Denied, or its client left: out of line. `None`: it did not wait.
     pub fn left(&mut self, now: Moment, id: StatementId) -> Option<Wait> {
-        self.now = now;
+        self.at(now);
         self.take_out(id).map(|waiter| waiter.wait(now, id))
     }
 
@@ -738,7 +748,7 @@
 
     /// Puts a desk where it now belongs among its member's, lane by lane, and the member among all.
     fn show_desk(&mut self, at: u32) {
-        let now = self.now;
+        let now = self.till;
         let desk = &mut self.desks[at as usize];
         let lent = bits(desk.account.lent());
         let member = &mut self.members[desk.member as usize];
@@ -761,7 +771,7 @@
     }
 
     fn show_member(&mut self, at: u32) {
-        let (now, alone) = (self.now, self.members.len() == 1);
+        let (now, alone) = (self.till, self.members.len() == 1);
         let member = &mut self.members[at as usize];
         let lent = bits(member.account.lent());
         let mut refill: Option<Moment> = None;
@@ -826,7 +836,7 @@
 
     /// The wait still before a statement.
     pub fn estimate(&mut self, now: Moment, id: StatementId) -> Option<Estimate> {
-        self.now = now;
+        self.at(now);
         let waiter = *self.waiting.get(&id)?;
         let raw = self.raw(waiter.desk, waiter.lane, waiter.place, waiter.need);
         Some(self.records[waiter.lane].tell(raw))
@@ -847,7 +857,7 @@
 
     /// Every desk where something waits, then as many of the others as `most` allows.
     pub fn status(&mut self, now: Moment, most: usize) -> Vec<DeskStatus> {
-        self.now = now;
+        self.at(now);
         let busy: Vec<u32> = self.heavy.iter().rev().map(|(_, desk)| *desk).take(most).collect();
         let idle = (0..self.desks.len() as u32).filter(|desk| self.desks[*desk as usize].count == 0);
         let mut shown: Vec<u32> = idle.take(most - busy.len()).chain(busy).collect();
@@ -875,7 +885,7 @@
             cpu: desk.cpu,
             budget: desk.account.claim().budget,
             rate: desk.pace.known(now, cores),
-            saved: desk.account.saved(now),
+            saved: desk.account.saved(self.till),
             longest: oldest.map_or(Span::ZERO, |waiter| now - waiter.entered),
             next,
         }
@@ -889,7 +899,7 @@
     /// Other terms, with all that waits: at the desk of the same names, else at its member's default one, else at the
     /// first member's. Accounts of teams that stay keep what they have used.
     pub fn change(&mut self, now: Moment, terms: Terms) {
-        self.round(now, self.cores);
+        self.at(now);
         let mut waiting: Vec<(StatementId, Waiter)> = Vec::with_capacity(self.waiting.len());
         let ids: Vec<StatementId> = self.waiting.keys().copied().collect();
         let keys = std::mem::take(&mut self.keys);
@@ -903,7 +913,7 @@
         self.root = vec![Ranks::default(); self.products];
         self.terms = terms;
         self.lay_out();
-        let burst = self.terms.burst;
+        let (till, burst) = (self.till, self.terms.burst);
         let by_name: BTreeMap<&str, u32> =
             self.members.iter().enumerate().map(|(at, member)| (member.name.as_str(), at as u32)).collect();
         let member_now: Vec<Option<u32>> =
@@ -922,14 +932,14 @@
             let Some(member) = now_at.map(|at| &mut self.members[at as usize]) else { continue };
             let claim = member.account.claim();
             member.account = old.account.clone();
-            member.account.change(now, claim, burst);
+            member.account.change(till, claim, burst);
             member.lent_now = old.lent_now;
         }
         for (old, (at, _)) in old_desks.into_iter().zip(&desk_now).filter(|(_, (_, kept))| *kept) {
             let desk = &mut self.desks[*at as usize];
             let claim = desk.account.claim();
             (desk.account, desk.paces, desk.pace) = (old.account, old.paces, old.pace);
-            desk.account.change(now, claim, burst);
+            desk.account.change(till, claim, burst);
         }
         for charge in self.charges.values_mut() {
             charge.desk = desk_now[charge.desk as usize].0;
--- a/crates/queues/tests/lines.rs
+++ b/crates/queues/tests/lines.rs
@@ -65,7 +65,7 @@
 
 /// Releases the next `count`, in one round; their ids.
 fn release(lines: &mut Lines, now: f64, count: usize) -> Vec<u64> {
-    lines.round(at(now), 4.0);
+    lines.round(at(now), 4.0, 1.0);
     let mut out = Vec::new();
     while out.len() < count
         && let Some(Offer { place, .. }) = lines.next()
@@ -116,7 +116,7 @@
     for (id, cpu, by, product) in [(1, 2.0, 3.0, 0), (2, 3.0, 4.0, 0), (3, 1.0, 5.0, 0), (4, 9.0, 6.0, 1)] {
         waits(&mut lines, 0.0, &Entry { product: ProductId(product), ..entry(id, 0, cpu, by) });
     }
-    lines.round(at(0.1), 4.0);
+    lines.round(at(0.1), 4.0, 1.0);
     let mut asked = Vec::new();
     while let Some(Offer { place, .. }) = lines.next() {
         asked.push(place.id.0);
@@ -124,7 +124,7 @@
     }
     assert_eq!(asked, [1, 3, 4]);
     // The next round asks anew.
-    lines.round(at(0.2), 4.0);
+    lines.round(at(0.2), 4.0, 1.0);
     assert_eq!(lines.next().unwrap().place.id.0, 1);
 }
 
@@ -155,11 +155,11 @@
     // In debt by 8 s of work: the other's later one goes first for 16 s, then its earlier one is first again.
     waits(&mut lines, 0.2, &entry(2010, 0, 0.1, 30.0));
     waits(&mut lines, 0.2, &entry(3010, 1, 0.1, 40.0));
-    lines.round(at(0.9), 4.0);
+    lines.round(at(0.9), 4.0, 1.0);
     assert_eq!(lines.next().unwrap().place.id.0, 3010);
     // An outcome that cost much less than was charged gives the rest back.
     lines.came_to(at(0.9), StatementId(1900), Some(0.1));
-    lines.round(at(0.95), 4.0);
+    lines.round(at(0.95), 4.0, 1.0);
     assert_eq!(lines.next().unwrap().place.id.0, 2010);
 }
 
@@ -194,7 +194,7 @@
         waits(&mut lines, 0.0, &Entry { key, ..entry(id, 0, 0.1, by) });
     }
     waits(&mut lines, 0.0, &entry(3010, 0, 0.1, 20.0));
-    lines.round(at(0.1), 4.0);
+    lines.round(at(0.1), 4.0, 1.0);
     // Its turn is not there yet, which says nothing of room: the other is asked about all the same.
     assert_eq!(lines.next().unwrap().place.id.0, 1010);
     lines.refused(StatementId(1010), false, at(9.0));
@@ -262,7 +262,7 @@
         release(&mut lines, step as f64 * 0.1, 1);
     }
     let before = lines.estimate(at(2.0), StatementId(60_010)).unwrap().wait.secs();
-    lines.round(at(2.01), 2.0);
+    lines.round(at(2.01), 2.0, 1.0);
     let after = lines.estimate(at(2.01), StatementId(60_010)).unwrap().wait.secs();
     assert!((1.8..2.2).contains(&(after / before)), "{before} {after}");
 }
@@ -384,7 +384,7 @@
         let (mut now, mut id, mut out) = (0.0, 0u64, Vec::<StatementId>::new());
         for _ in 0..400 {
             now += 0.02;
-            lines.round(at(now), 4.0);
+            lines.round(at(now), 4.0, 1.0);
             for _ in 0..rng.random_range(0..4) {
                 id += 1;
                 let (desk, cpu) = (rng.random_range(0..teams as u32), rng.random_range(0.01..2.0));
