Lines measured at 10 to 100,000 teams; an estimate no longer sums all members

Change: the sum is kept. cargo bench -p laurelhitch-queues compares with a plain ordered map that is scanned.

--- /dev/null
+++ b/crates/queues/benches/lines.rs
@@ -0,0 +1,149 @@
+//! What the lines cost by number of teams, beside a plain ordered map of teams that is scanned for the best one.
+
+use std::collections::BTreeMap;
+use std::hint::black_box;
+
+use admission::interface::*;
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use queues::lines::Entry;
+use queues::order::Need;
+use queues::*;
+
+const WAITING: u64 = 100_000;
+
+fn at(secs: f64) -> Moment {
+    Moment::from_secs(1000.0 + secs)
+}
+
+fn terms(teams: usize) -> Terms {
+    let claim = Claim { budget: 1.0, weight: 1.0 };
+    let desk = |_| DeskTerms { name: "all".into(), claim, networks: Vec::new() };
+    let member = |at: usize| MemberTerms { name: format!("m{at}"), claim, desks: (0..1).map(desk).collect() };
+    let bound = Bound { statements: 1 << 30, cpu: 1e12 };
+    let (ageing, burst) = (Span::from_secs(600.0), Span::from_secs(2.0));
+    Terms { members: (0..teams).map(member).collect(), ageing, burst, each: bound, all: bound }
+}
+
+fn entry(id: u64, teams: u64) -> Entry {
+    let mixed = id.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 20;
+    let place =
+        Place { by: at(100.0 + (mixed % 100_000) as f64 / 1e3), id: StatementId(id), over_allowance: false };
+    Entry {
+        id: StatementId(id),
+        desk: DeskId((mixed % teams) as u32),
+        product: ProductId((mixed % 2) as usize),
+        place,
+        need: Need { cpu: 0.01 + (mixed % 97) as f64 / 100.0, memory_mb: 1.0 },
+        full_until: at(1e6),
+        useful_until: at(1e6),
+        key: None,
+    }
+}
+
+fn filled(teams: usize) -> Lines {
+    let mut lines = Lines::new(at(0.0), terms(teams), 2, 1);
+    (0..WAITING).for_each(|id| drop(lines.enter(at(0.0), &entry(id, teams as u64))));
+    lines.round(at(0.01), 40.0, 1.0);
+    lines
+}
+
+/// Teams in an ordered map, each with its statements in order; the best team is found by looking at all.
+struct Plain(BTreeMap<u32, BTreeMap<Place, Need>>);
+
+impl Plain {
+    fn filled(teams: usize) -> Plain {
+        let mut plain = Plain(BTreeMap::new());
+        (0..WAITING).for_each(|id| plain.enter(&entry(id, teams as u64)));
+        plain
+    }
+
+    fn enter(&mut self, entry: &Entry) {
+        self.0.entry(entry.desk.0).or_default().insert(entry.place, entry.need);
+    }
+
+    fn next(&self) -> Option<(u32, Place)> {
+        let firsts = self.0.iter().filter_map(|(team, line)| Some((*team, *line.first_key_value()?.0)));
+        firsts.min_by_key(|(_, place)| *place)
+    }
+
+    fn ahead(&self, team: u32, place: Place) -> f64 {
+        self.0[&team].range(..place).map(|(_, need)| need.cpu).sum()
+    }
+}
+
+fn costs(c: &mut Criterion) {
+    let mut group = c.benchmark_group("lines");
+    group.sample_size(10).warm_up_time(std::time::Duration::from_millis(300));
+    group.measurement_time(std::time::Duration::from_millis(500));
+    for teams in [10, 1_000, 100_000] {
+        let (mut lines, mut plain) = (filled(teams), Plain::filled(teams));
+        let mut id = WAITING;
+        group.bench_function(BenchmarkId::new("offer", teams), |b| {
+            b.iter(|| {
+                id += 1;
+                black_box(lines.enter(at(0.01), &entry(id, teams as u64)));
+                // So that as many wait all the time.
+                lines.left(at(0.01), StatementId(id))
+            })
+        });
+        group.bench_function(BenchmarkId::new("take", teams), |b| {
+            b.iter(|| {
+                let offer = lines.next().expect("some wait");
+                lines.released(at(0.01), offer.place.id, 0.1);
+                lines.over(offer.place.id);
+                let (by, new) = (offer.place.by, StatementId(id + 1));
+                id += 1;
+                let again =
+                    Entry { place: Place { by, id: new, over_allowance: false }, ..entry(id, teams as u64) };
+                lines.enter(at(0.01), &Entry { id: new, ..again })
+            })
+        });
+        group.bench_function(BenchmarkId::new("estimate", teams), |b| {
+            let mut of = 0;
+            b.iter(|| {
+                of = (of + 7919) % WAITING;
+                black_box(lines.estimate(at(0.01), StatementId(of)))
+            })
+        });
+        group.bench_function(BenchmarkId::new("displace", teams), |b| {
+            let full = || {
+                let mut terms = terms(teams);
+                terms.all.statements = 100_000;
+                let mut lines = Lines::new(at(0.0), terms, 2, 1);
+                (0..WAITING).for_each(|id| drop(lines.enter(at(0.0), &entry(id, teams as u64))));
+                lines
+            };
+            b.iter_batched_ref(
+                full,
+                |lines| {
+                    for more in 0..100 {
+                        black_box(lines.enter(at(0.01), &entry(WAITING + more, teams as u64)));
+                    }
+                },
+                BatchSize::PerIteration,
+            )
+        });
+        group.bench_function(BenchmarkId::new("plain take", teams), |b| {
+            b.iter(|| {
+                let (team, place) = plain.next().expect("some wait");
+                let line = plain.0.get_mut(&team).expect("just seen");
+                let need = line.remove(&place).expect("just seen");
+                id += 1;
+                let by = place.by;
+                line.insert(Place { by, id: StatementId(id), over_allowance: false }, need);
+            })
+        });
+        group.bench_function(BenchmarkId::new("plain estimate", teams), |b| {
+            let mut of = 0;
+            b.iter(|| {
+                of = (of + 7919) % WAITING;
+                let entry = entry(of, teams as u64);
+                black_box(plain.ahead(entry.desk.0, entry.place))
+            })
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, costs);
+criterion_main!(benches);
--- a/crates/queues/src/lines.rs
+++ b/crates/queues/src/lines.rs
@@ -232,6 +232,8 @@
     usual: Vec<f64>,
     count: u32,
     cpu: f64,
+    /// All members' budgets together.
+    owed: f64,
     cores: f64,
     till: Till,
     now: Moment,
@@ -267,6 +269,7 @@
             usual: vec![0.0; products],
             count: 0,
             cpu: 0.0,
+            owed: 0.0,
             cores: 1.0,
             till: Till::new(now),
             now,
@@ -282,6 +285,7 @@
     }
 
     fn lay_out(&mut self) {
+        self.owed = self.terms.members.iter().map(|member| member.claim.budget).sum();
         let (now, till, lanes, burst) = (self.now, self.till, self.products, self.terms.burst);
         for terms in &self.terms.members {
             let member = self.members.len() as u32;
@@ -821,8 +825,7 @@
         }
         let of = &mut self.desks[desk as usize];
         // At a desk where nothing waited of late, its part of what all get is the best word there is.
-        let part = of.account.claim().budget
-            / self.terms.members.iter().map(|m| m.claim.budget).sum::<f64>().max(1e-9);
+        let part = of.account.claim().budget / self.owed.max(1e-9);
         let all = self.whole.rate(now, cores, cores * LIKELY);
         let desk = of.pace.rate(now, cores, all * part.clamp(0.01, 1.0));
         let rate = of.paces[product].rate(now, cores, desk);
