--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -18,7 +18,12 @@
     let area = SVGBackend::new(&path, SIZE).into_drawing_area();
     area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&area);
-    let mut chart = chart.margin(20).build_cartesian_2d(0.0..longest, 0.0..longest)?;
+    let mut chart = chart
+        .margin(20)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..longest, 0.0..longest)?;
+    chart.configure_mesh().x_desc("told, s").y_desc("real wait, s").draw()?;
     chart.draw_series(LineSeries::new([(0.0, 0.0), (longest, longest)], &BLACK))?;
     // Thinned evenly: a million points are no picture.
     let every = (outcome.told.len() / 5000).max(1);
@@ -31,7 +36,12 @@
     area.fill(&WHITE)?;
     let seconds = outcome.figures.simulated_s.max(1.0);
     let mut chart = ChartBuilder::on(&area);
-    let mut chart = chart.margin(20).build_cartesian_2d(0.0..seconds, 0.0..longest)?;
+    let mut chart = chart
+        .margin(20)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..seconds, 0.0..longest)?;
+    chart.configure_mesh().x_desc("simulated s").y_desc("wait, s").draw()?;
     let points = outcome.told.iter().step_by(every).map(|told| Circle::new((told.at, told.real), 2, RED));
     chart.draw_series(points)?;
     area.present()?;
@@ -41,7 +51,12 @@
     area.fill(&WHITE)?;
     let most = outcome.spans.iter().flatten().fold(1.0f64, |most, span| most.max(span.0).max(span.1));
     let mut chart = ChartBuilder::on(&area);
-    let mut chart = chart.margin(20).build_cartesian_2d(0.0..seconds, 0.0..most / outcome.span_s)?;
+    let mut chart = chart
+        .margin(20)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..seconds, 0.0..most / outcome.span_s)?;
+    chart.configure_mesh().x_desc("simulated s").y_desc("CPU s a second, asked (pale) and served").draw()?;
     for at in 0..outcome.members.len() {
         let color = Palette99::pick(at).to_rgba();
         let line = |of: fn(&(f64, f64)) -> f64| {
