laurelhitch keys and token: the folder of keys kept, tokens issued, verified and revoked

Need: operators make keys, let them sign, retire and withdraw them, and issue and revoke tokens, by the program itself. Change: keys new, list, announce, retire, withdraw; token issue, show, verify, revoke.

--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -10,6 +10,7 @@
 use tracing_subscriber::EnvFilter;
 
 use crate::config::{Config, ConfigError, Operated};
+use crate::credentials;
 use crate::lifecycle::Lifecycle;
 use crate::status;
 
@@ -60,6 +61,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// The folder of signing keys.
+    #[command(subcommand)]
+    Keys(credentials::Keys),
+    /// Tokens of callers.
+    #[command(subcommand)]
+    Token(credentials::Token),
     /// Prints completions for a shell.
     Completions { shell: clap_complete::Shell },
 }
@@ -74,6 +81,8 @@
         Command::Queue { address, member, rid, json } => {
             queue(address, member.as_deref(), rid.as_deref(), json)
         }
+        Command::Keys(command) => credentials::keys(command),
+        Command::Token(command) => credentials::token(command),
         Command::Completions { shell } => {
             let mut command = CommandLine::command();
             clap_complete::generate(shell, &mut command, "laurelhitch", &mut std::io::stdout());
--- a/crates/identity/src/token.rs
+++ b/crates/identity/src/token.rs
@@ -3,11 +3,12 @@
 
 use admission::interface::{Moment, Span};
 use pasetors::Public;
-use pasetors::keys::{AsymmetricPublicKey, AsymmetricSecretKey};
+use pasetors::keys::{AsymmetricKeyPair, AsymmetricPublicKey, AsymmetricSecretKey, Generate};
 use pasetors::token::UntrustedToken;
 use pasetors::version4::{PublicToken, V4};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use zeroize::Zeroizing;
 
 use crate::grants::Grant;
 use crate::keys::KeyId;
@@ -66,10 +67,17 @@
     UntrustedToken::<Public, V4>::try_from(token).map_err(|_| TokenError::Form)
 }
 
+/// What a token says of itself; anybody can say anything.
+///
+/// # Errors
+/// It is no token, or its claims are none.
+pub fn claims_unchecked(token: &str) -> Result<Claims, TokenError> {
+    serde_json::from_slice(untrusted(token)?.untrusted_payload()).map_err(|_| TokenError::Claims)
+}
+
 /// When a token was issued, by its own unchecked word: only for whether to ask again is it used.
 pub fn issued_unchecked(token: &str) -> Option<Moment> {
-    let untrusted = untrusted(token).ok()?;
-    let claims: Claims = serde_json::from_slice(untrusted.untrusted_payload()).ok()?;
+    let claims = claims_unchecked(token).ok()?;
     claims.issued_s.is_finite().then(|| Moment::from_secs(claims.issued_s))
 }
 
@@ -99,6 +107,17 @@
     if token.len() > LONGEST { Err(TokenError::Long) } else { Ok(token) }
 }
 
+/// A fresh pair: the secret half and the public one.
+///
+/// # Errors
+/// The machine gives no randomness.
+pub fn fresh() -> Result<(Zeroizing<[u8; 64]>, [u8; 32]), TokenError> {
+    let pair = AsymmetricKeyPair::<V4>::generate().map_err(|_| TokenError::Signature)?;
+    let secret = pair.secret.as_bytes().try_into().map_err(|_| TokenError::Signature)?;
+    let public = pair.public.as_bytes().try_into().map_err(|_| TokenError::Signature)?;
+    Ok((Zeroizing::new(secret), public))
+}
+
 impl Claims {
     /// From when and until when it holds, with this much given for clocks that differ.
     pub fn holds(&self, skew: Span) -> (Moment, Moment) {
