Callers by token within TLS: rustls on the loop, grants before the decisions, keys in service

Need: a counter gateway and an accounts desk look alike, and whoever writes acct= in a comment is that member.

Change: with an identity block in the operator's file, clients ask for TLS by MySQL's SSLRequest and log in as user token; every statement is judged by its session's token and grant before the decisions; the comment may narrow what the caller is, never widen it; member and desk for queues come from the grant. SET @laurelhitch_token renews.

Off: nothing of it runs. Client certificates are still to come.

--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -5,9 +5,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
 
 use admission::interface::*;
 use bytes::{Bytes, BytesMut};
+use rustls::ServerConfig;
 use tracing::debug;
 
 use crate::counters::Counters;
@@ -42,6 +45,12 @@
         text: Bytes,
         from: IpAddr,
     },
+    /// A token, at login or later, to be judged.
+    Token {
+        session: u32,
+        token: Rc<str>,
+        login: bool,
+    },
     /// What waits: all, or the statement of this id.
     Queue {
         session: u32,
@@ -60,6 +69,10 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Login,
+    /// TLS stands; the login proper comes.
+    Secured,
+    /// The password was asked for.
+    Password,
     Open,
     /// Our last word is said; what still comes is not read for meaning.
     Closing,
@@ -70,6 +83,8 @@
     from: IpAddr,
     /// It takes progress reports while its statement waits.
     progress: bool,
+    /// By which its statements are judged, each anew.
+    token: Option<Rc<str>>,
     phase: Phase,
     /// Number of the packet that is to be answered.
     seq: u8,
@@ -125,6 +140,8 @@
 pub struct Clients {
     handle: Loop,
     share: usize,
+    /// Callers are to be known: TLS and a token, by this.
+    tls: Option<Arc<ServerConfig>>,
     /// Progress reports are offered.
     progress: bool,
     /// Sessions that take them; they leave with the session.
@@ -147,6 +164,7 @@
         Clients {
             handle: handle.clone(),
             share,
+            tls: None,
             progress,
             progressing,
             bound,
@@ -221,6 +239,7 @@
             socket,
             from,
             progress: false,
+            token: None,
             phase: Phase::Login,
             seq: 0,
             asked: false,
@@ -231,7 +250,7 @@
             begun: None,
             written: 0,
         };
-        session.socket.put(&packets::greeting(id, self.progress));
+        session.socket.put(&packets::greeting(id, self.progress, self.tls.is_some()));
         self.sessions.insert(id, session);
         self.ready(now, id, counters);
     }
@@ -312,6 +331,45 @@
     fn packet(&mut self, id: u32, body: &[u8], counters: &mut Counters) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let answer = Answer::to(session.seq);
+        if let Some(tls) = &self.tls
+            && matches!(session.phase, Phase::Login | Phase::Secured | Phase::Password)
+        {
+            let known = match (session.phase, packets::hello(body)) {
+                (Phase::Login, packets::Hello::Tls) => {
+                    session.phase = Phase::Secured;
+                    // The rest of this packet's turn reads on within TLS.
+                    let before = session.socket.inbox.len();
+                    let ended = session.socket.start_tls(tls.clone()).is_err();
+                    self.unread = self.unread + session.socket.inbox.len() - before;
+                    counters.tls_failed += u64::from(ended);
+                    session.phase = if ended { Phase::Closing } else { session.phase };
+                    return;
+                }
+                // Nothing of it is read: what ought to be secret is not to be sent so again.
+                (Phase::Login, packets::Hello::Login) => Err((3159, b"HY000", "TLS is required here")),
+                (Phase::Secured, _) => packets::token_login(body).map(|()| answer.ask_clear()),
+                _ => match std::str::from_utf8(body.strip_suffix(&[0]).unwrap_or(body)) {
+                    Ok(token) => {
+                        session.asked = true;
+                        self.news.push(News::Token { session: id, token: token.into(), login: true });
+                        return;
+                    }
+                    Err(_) => Err((1045, b"28000", "Access denied")),
+                },
+            };
+            match known {
+                Ok(bytes) => {
+                    session.phase = Phase::Password;
+                    session.socket.put(&bytes);
+                }
+                Err((code, state, text)) => {
+                    counters.logins_denied += 1;
+                    session.phase = Phase::Closing;
+                    session.socket.put(&Answer::to(session.seq).error(code, state, text));
+                }
+            }
+            return;
+        }
         if session.phase == Phase::Login {
             match packets::login(body) {
                 Ok(()) => {
@@ -337,6 +395,11 @@
             Command::Unknown => session.socket.put(&answer.error(1047, b"08S01", "Unknown command")),
             Command::Query(text) => match packets::query(text) {
                 Query::Fine => session.socket.put(&answer.ok()),
+                Query::Renew(token) if self.tls.is_some() => {
+                    session.asked = true;
+                    self.news.push(News::Token { session: id, token: token.into(), login: false });
+                }
+                Query::Renew(_) => session.socket.put(&answer.ok()),
                 Query::Variable(name) => {
                     let largest = packets::LARGEST.to_string();
                     let known = name.eq_ignore_ascii_case("@@max_allowed_packet");
@@ -366,6 +429,43 @@
         self.sessions.get_mut(&id).into_iter().for_each(|session| session.statement = Some(statement));
     }
 
+    /// Callers are to be known from now on; new handshakes use this, sessions that stand keep what they have.
+    pub fn secure(&mut self, tls: Arc<ServerConfig>) {
+        self.tls = Some(tls);
+    }
+
+    pub fn from(&self, id: u32) -> IpAddr {
+        self.sessions.get(&id).map_or(IpAddr::from([0; 4]), |session| session.from)
+    }
+
+    pub fn token(&self, id: u32) -> Option<Rc<str>> {
+        self.sessions.get(&id)?.token.clone()
+    }
+
+    /// The session's token was found good: it is logged in, or goes on with this one.
+    pub fn known(&mut self, now: Moment, id: u32, token: Rc<str>, counters: &mut Counters) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.token = Some(token);
+            session.phase = Phase::Open;
+        }
+        self.answer(now, id, counters, |answer| answer.ok());
+    }
+
+    /// Its token is not good enough to log in with: it is told why, and its session ends.
+    pub fn unknown(
+        &mut self,
+        now: Moment,
+        id: u32,
+        counters: &mut Counters,
+        answer: impl FnOnce(Answer) -> BytesMut,
+    ) {
+        counters.logins_denied += 1;
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.phase = Phase::Closing;
+        }
+        self.answer(now, id, counters, answer);
+    }
+
     /// Sessions that take progress reports and have a statement open.
     pub fn progressing(&self) -> Vec<(u32, StatementId)> {
         let open = |id: &u32| Some((*id, self.sessions.get(id)?.statement?));
--- a/crates/gateway/src/clients/packets.rs
+++ b/crates/gateway/src/clients/packets.rs
@@ -145,7 +145,9 @@
 
 /// `progress`: progress reports are offered, in MariaDB's form: without the capability that marks MySQL's own servers,
 /// the last four bytes of what is reserved are further capabilities.
-pub fn greeting(connection: u32, progress: bool) -> BytesMut {
+/// `tls`: the client may ask for TLS.
+pub fn greeting(connection: u32, progress: bool, tls: bool) -> BytesMut {
+    let more = if tls { CapabilityFlags::CLIENT_SSL } else { CapabilityFlags::empty() };
     let packet = HandshakePacket::new(
         10,
         &b"8.0.0-laurelhitch"[..],
@@ -153,7 +155,7 @@
         // No password is ever checked with it.
         *b"laurel--",
         Some(&b"hitch-------\0"[..]),
-        offered(),
+        offered() | more,
         UTF8,
         StatusFlags::SERVER_STATUS_AUTOCOMMIT,
         Some(&b"mysql_native_password"[..]),
@@ -179,10 +181,51 @@
     word(0).is_some_and(|own| own & mysql == 0) && word(28).is_some_and(|more| more & PROGRESS != 0)
 }
 
+/// What a login packet asks for, where callers are to be known.
+#[derive(Debug, PartialEq)]
+pub enum Hello {
+    /// TLS first, and the login again behind it.
+    Tls,
+    Login,
+}
+
+/// Whether a first packet only asks for TLS: it ends before the user's name.
+pub fn hello(body: &[u8]) -> Hello {
+    let word = body.get(..4).map(|word| u32::from_le_bytes([word[0], word[1], word[2], word[3]]));
+    let tls = word.is_some_and(|own| own & CapabilityFlags::CLIENT_SSL.bits() != 0);
+    if tls && body.len() == 32 { Hello::Tls } else { Hello::Login }
+}
+
+/// The user that a token is the password of.
+pub const TOKEN_USER: &[u8] = b"token";
+const CLEAR: &[u8] = b"mysql_clear_password";
+
+impl Answer {
+    /// Asks for the password as it is: only ever within TLS.
+    pub fn ask_clear(mut self) -> BytesMut {
+        self.packet(|out| {
+            out.push(0xfe);
+            out.extend(CLEAR);
+            out.push(0);
+        });
+        self.bytes
+    }
+}
+
+/// A login by token: of the right user and database.
+pub fn token_login(body: &[u8]) -> Result<(), Denied> {
+    login_of(body, TOKEN_USER, false)
+}
+
 /// Why a login is turned down, as code, state and text.
 pub type Denied = (u16, &'static [u8; 5], &'static str);
 
 pub fn login(body: &[u8]) -> Result<(), Denied> {
+    login_of(body, USER, true)
+}
+
+/// `empty`: there is no password, and a login with one is wrong.
+fn login_of(body: &[u8], user: &[u8], empty: bool) -> Result<(), Denied> {
     let malformed = (1043, b"08S01", "Bad handshake");
     // Only what both sides can do shapes the packet; ordinary clients name more than they were offered.
     let mut body = body.to_vec();
@@ -192,7 +235,7 @@
     if !response.capabilities().contains(CapabilityFlags::CLIENT_PROTOCOL_41) {
         return Err(malformed);
     }
-    if response.user() != USER || !response.scramble_buf().is_empty() {
+    if response.user() != user || empty && !response.scramble_buf().is_empty() {
         return Err((1045, b"28000", "Access denied"));
     }
     if response.db_name().is_some_and(|name| !name.is_empty() && name != DATABASE) {
@@ -225,6 +268,8 @@
 #[derive(Debug, PartialEq)]
 pub enum Query<'a> {
     Statement,
+    /// The session's next token.
+    Renew(&'a str),
     Kill {
         connection: u32,
         whole: bool,
@@ -257,6 +302,10 @@
             _ => {}
         }
     }
+    if is(first, "set") && is(second, "@laurelhitch_token") && third == "=" {
+        let token = more.strip_prefix('\'').and_then(|token| token.strip_suffix('\''));
+        return token.map_or(Query::Statement, Query::Renew);
+    }
     let plain_words = ["set", "use", "begin", "commit", "rollback", "start"];
     if plain_words.iter().any(|name| is(first, name)) {
         return Query::Fine;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use operator::{Operator, OperatorError};
+use operator::{Callers, Operator, OperatorError};
 use queues::Terms;
 use serde_json::Value;
 use settings::{Settings, SettingsError};
@@ -37,6 +37,8 @@
     pub file: Option<PathBuf>,
     /// Budgets as this gateway's part of those of all; nothing where there are no queues.
     pub queues: Option<Terms>,
+    /// Files and terms by which callers are known; nothing where they are not.
+    pub callers: Option<Callers>,
 }
 
 impl Operated {
@@ -54,7 +56,8 @@
             }
         }
         let part = 1.0 / config.settings.peers()?;
-        Ok(Operated { file: Some(path), queues: operator.queues.map(|terms| terms.part(part)) })
+        let queues = operator.queues.map(|terms| terms.part(part));
+        Ok(Operated { file: Some(path), queues, callers: operator.identity })
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod credentials;
 pub mod engines;
 pub mod keyfiles;
+pub mod keywatch;
 pub mod lifecycle;
 pub mod service;
 pub mod socket;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -10,6 +10,8 @@
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
+use identity::Guard;
+use identity::keys::IndexError;
 use settings::SettingsError;
 use thiserror::Error;
 use tracing::{info, warn};
@@ -19,6 +21,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Operated};
 use crate::engines::Engines;
+use crate::keywatch::{self, Known, WatchError};
 use crate::service::Service;
 use crate::socket::{Peer, Ready};
 
@@ -63,6 +66,10 @@
     Loop(#[from] calloop::Error),
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Known(#[from] WatchError),
+    #[error(transparent)]
+    Keys(#[from] IndexError),
 }
 
 pub struct Lifecycle {
@@ -123,6 +130,20 @@
             operated.queues.as_ref(),
         )?;
         service.told(now, &std::mem::take(&mut config.known.events));
+        if let Some(callers) = &operated.callers {
+            let known = keywatch::read(callers)?;
+            let mut guard = Guard::new(now, callers.terms);
+            guard.take(now, &known.files.index, &known.files.public, known.files.revoked)?;
+            info!(keys = known.files.index.keys.len(), "callers are to be known");
+            service.guard(guard);
+            service.clients.secure(known.tls);
+            let note = |event, _: &mut (), ready: &mut Ready| {
+                if let calloop::channel::Event::Msg(known) = event {
+                    ready.known.push(known);
+                }
+            };
+            handle.insert_source(keywatch::watch(callers.clone()), note).map_err(|e| e.error)?;
+        }
         info!(name = config.name, "starting");
         Ok(Lifecycle {
             phase: Phase::Starting,
@@ -172,6 +193,7 @@
             counters.turns += 1;
             counters.late_turns += u64::from((now - due).secs() > 0.005);
             std::mem::take(&mut ready.signals).into_iter().for_each(|signal| self.signal(now, signal));
+            std::mem::take(&mut ready.known).into_iter().for_each(|known| self.known(now, known));
             for peer in std::mem::take(&mut ready.peers) {
                 self.ready(now, peer);
             }
@@ -284,6 +306,33 @@
         self.reload_operator(now);
     }
 
+    /// Changed key files and certificates, whole or not at all: the last good ones stand.
+    fn known(&mut self, now: Moment, known: Result<Known, WatchError>) {
+        let refused = match known {
+            Err(error) => Some(error.to_string()),
+            Ok(Known { files, tls }) => {
+                let guard = self.service.guarded();
+                let taken = guard.map(|guard| guard.take(now, &files.index, &files.public, files.revoked));
+                let refused = taken.and_then(Result::err).map(|error| error.to_string());
+                if refused.is_none() {
+                    self.service.clients.secure(tls);
+                }
+                refused
+            }
+        };
+        let counters = &mut self.service.counters;
+        match refused {
+            None => {
+                counters.key_files += 1;
+                info!("key files taken in");
+            }
+            Some(error) => {
+                counters.key_files_failed += 1;
+                warn!(error, "the key files cannot be used; the last good ones stand");
+            }
+        }
+    }
+
     /// The operator's file again, whole or not at all. What is off or on stays so: sessions were told at their start.
     fn reload_operator(&mut self, now: Moment) {
         let Some(path) = self.operated.file.clone() else { return };
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -3,10 +3,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 
 use admission::interface::*;
 use bytes::{Bytes, BytesMut};
 use dispatch::{Dispatch, Order, Pick, Verdict, Wants};
+use identity::grants::{Beyond, Request};
+use identity::token::Claims;
+use identity::{Guard, Verdict as Judged};
 use queues::{DeskId, Directory, Hall, Lines, Terms};
 use settings::{Settings, SettingsError};
 use tracing::{info, warn};
@@ -40,6 +45,8 @@
 struct Passing {
     session: u32,
     rid: Rid,
+    /// Whose it is, where callers are known.
+    caller: Option<String>,
     product: usize,
     text: Bytes,
     answered: bool,
@@ -59,6 +66,10 @@
     hall: Hall,
     /// Where there are lines: whose desk a statement waits at.
     directory: Option<Directory>,
+    /// Where callers are to be known.
+    guard: Option<Guard>,
+    /// Statements open by caller; leaves with the last of them.
+    open: BTreeMap<String, u32>,
     names: Names,
     products: Vec<String>,
     tenants: Vec<String>,
@@ -78,12 +89,23 @@
     listed: bool,
 }
 
+fn denial(come_back: Option<Span>) -> String {
+    let back = |wait: Span| format!("denied; backoff={}", (wait.secs() * 1e3).round() as u64);
+    come_back.map_or("denied".to_owned(), back)
+}
+
 /// What becomes of a query that never gets before the decisions.
 enum Unusable {
     /// It cannot be read, or names what is not there: the client's mistake.
     Wrong(String),
     /// As many are open as the settings allow.
     Full,
+    /// The caller may not run it, which is no denial.
+    Beyond(Beyond),
+    /// The session's token holds no more.
+    Unknown(String),
+    /// Its key is still arriving here.
+    Later(Span),
 }
 
 impl<T: ToString> From<T> for Unusable {
@@ -111,6 +133,8 @@
             counters: Counters::default(),
             hall: Hall::new(Dispatch::new(settings.policy(seed)?), lines),
             directory,
+            guard: None,
+            open: BTreeMap::new(),
             names: Names::new(settings.location_names(), settings.machine_names()),
             products: settings.product_names()?,
             tenants: settings.tenant_names()?,
@@ -300,6 +324,7 @@
             }
             clients::News::Queue { session, id, .. } => self.tell_queue(now, session, id),
             clients::News::Left(id) => self.left(now, id),
+            clients::News::Token { session, token, login } => self.judge(now, session, &token, login),
             clients::News::Kill { by, session, whole } => {
                 let killed = self.clients.kill(now, session, whole, &mut self.counters);
                 killed.flatten().into_iter().for_each(|id| self.left(now, id));
@@ -322,6 +347,64 @@
         self.forget(id);
     }
 
+    /// Callers are to be known from now on, by this.
+    pub fn guard(&mut self, guard: Guard) {
+        self.guard = Some(guard);
+    }
+
+    pub fn guarded(&mut self) -> Option<&mut Guard> {
+        self.guard.as_mut()
+    }
+
+    /// A token at login or later: only one that holds now replaces what stood.
+    fn judge(&mut self, now: Moment, session: u32, token: &Rc<str>, login: bool) {
+        let Some(guard) = &mut self.guard else { return };
+        let counters = &mut self.counters;
+        let (code, state, text) = match guard.verdict(now, token) {
+            Judged::Granted { claims, .. } if claims.grant.allows_from(self.clients.from(session)) => {
+                counters.tokens_granted += 1;
+                return self.clients.known(now, session, token.clone(), counters);
+            }
+            Judged::Granted { .. } => {
+                counters.tokens_refused += 1;
+                (1045, b"28000", Beyond::Network.to_string())
+            }
+            Judged::Later { back } => {
+                counters.tokens_later += 1;
+                (1226, b"42000", denial(Some(back)))
+            }
+            Judged::Refused(why) => {
+                counters.tokens_refused += 1;
+                (1045, b"28000", why.to_string())
+            }
+        };
+        let answer = |answer: Answer| answer.error(code, state, &text);
+        if login {
+            self.clients.unknown(now, session, counters, answer);
+        } else {
+            self.clients.answer(now, session, counters, answer);
+        }
+    }
+
+    /// Whose a statement is by its session's token, which is judged anew each time.
+    fn caller(&mut self, now: Moment, session: u32) -> Result<Option<Arc<Claims>>, Unusable> {
+        let Some(guard) = &mut self.guard else { return Ok(None) };
+        let Some(token) = self.clients.token(session) else {
+            return Err(Unusable::Unknown("no token".into()));
+        };
+        match guard.verdict(now, &token) {
+            Judged::Granted { claims, .. } => Ok(Some(claims)),
+            Judged::Later { back } => {
+                self.counters.tokens_later += 1;
+                Err(Unusable::Later(back))
+            }
+            Judged::Refused(why) => {
+                self.counters.tokens_refused += 1;
+                Err(Unusable::Unknown(why.to_string()))
+            }
+        }
+    }
+
     fn tell_progress(&mut self, now: Moment) {
         for (session, id) in self.clients.progressing() {
             let Some((waited, left)) = self.hall.progress(now, id) else { continue };
@@ -348,12 +431,19 @@
     }
 
     fn asked(&mut self, now: Moment, session: u32, text: &Bytes, from: IpAddr) {
-        let (wants, rid, statement, desk) = match self.wants(text, from) {
+        let wanted = self.caller(now, session).and_then(|claims| {
+            let (wants, rid, statement, desk) = self.wants(text, from, claims.as_deref())?;
+            Ok((wants, rid, statement, desk, claims.map(|claims| claims.caller.clone())))
+        });
+        let (wants, rid, statement, desk, caller) = match wanted {
             Ok(usable) => usable,
             Err(why) => {
                 self.counters.statements_unusable += 1;
                 self.clients.answer(now, session, &mut self.counters, |answer| match why {
                     Unusable::Wrong(why) => answer.error(1064, b"42000", &why),
+                    Unusable::Beyond(why) => answer.error(1142, b"42000", &format!("not granted: {why}")),
+                    Unusable::Unknown(why) => answer.error(1045, b"28000", &why),
+                    Unusable::Later(back) => answer.error(1226, b"42000", &denial(Some(back))),
                     Unusable::Full => answer.error(1040, b"08004", "too many statements open"),
                 });
                 return;
@@ -367,7 +457,11 @@
         let ends = self.answer_by.map_or(ends, |by| ends.min(by + Span::from_secs(OVERDUE_S)));
         self.ends.insert((ends, id));
         let (out, went_on) = (Vec::new(), Vec::new());
-        let passing = Passing { session, rid, product, text: statement, answered: false, ends, out, went_on };
+        if let Some(caller) = &caller {
+            *self.open.entry(caller.clone()).or_default() += 1;
+        }
+        let passing =
+            Passing { session, rid, caller, product, text: statement, answered: false, ends, out, went_on };
         self.passing.insert(id, passing);
         self.rids.insert(rid, id);
         self.clients.took(session, id);
@@ -376,8 +470,26 @@
     }
 
     /// Takes out what the decisions need, and checks it: nothing unusable may reach an engine.
-    fn wants(&mut self, text: &Bytes, from: IpAddr) -> Result<(Wants, Rid, Bytes, DeskId), Unusable> {
-        let read = comment::read(text)?;
+    fn wants(
+        &mut self,
+        text: &Bytes,
+        from: IpAddr,
+        claims: Option<&Claims>,
+    ) -> Result<(Wants, Rid, Bytes, DeskId), Unusable> {
+        let mut read = comment::read(text)?;
+        if let Some(claims) = claims {
+            let open = self.open.get(&claims.caller).copied().unwrap_or(0);
+            let group = comment::table_group(read.statement);
+            let (member, desk, product) = (read.tenant, read.desk, read.product);
+            let beyond = claims.grant.allows(&Request { member, desk, product, group, from, open });
+            if let Err(beyond) = beyond {
+                self.counters.beyond_grant += 1;
+                return Err(Unusable::Beyond(beyond));
+            }
+            // What the comment leaves open, the caller is.
+            read.tenant = Some(&claims.grant.member);
+            read.desk = claims.grant.desk(read.desk);
+        }
         let named = |names: &[String], name: &str| names.iter().position(|known| known == name);
         let product = named(&self.products, read.product).ok_or("unknown method")?;
         let tenant = match read.tenant {
@@ -438,9 +550,7 @@
 
     fn deny(&mut self, now: Moment, id: StatementId, come_back: Option<Span>) {
         self.counters.denied += 1;
-        let text = come_back.map_or("denied".to_owned(), |wait| {
-            format!("denied; backoff={}", (wait.secs() * 1e3).round() as u64)
-        });
+        let text = denial(come_back);
         self.answer(now, id, |answer| answer.error(1226, b"42000", &text));
     }
 
@@ -460,6 +570,14 @@
     fn forget(&mut self, id: StatementId) {
         if self.passing.get(&id).is_some_and(|passing| passing.answered && passing.out.is_empty()) {
             let passing = self.passing.remove(&id).expect("just seen");
+            if let Some(caller) = &passing.caller
+                && let Some(open) = self.open.get_mut(caller)
+            {
+                *open -= 1;
+                if *open == 0 {
+                    self.open.remove(caller);
+                }
+            }
             self.rids.remove(&passing.rid);
         }
     }
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -5,11 +5,14 @@
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
+use std::sync::Arc;
 
-use bytes::{Buf, BytesMut};
+use crate::keywatch::{Known, WatchError};
+use bytes::{Buf, BufMut, BytesMut};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use rustix::net::{AddressFamily, SocketFlags, SocketType, connect, ipproto, socket_with, sockopt};
+use rustls::{ServerConfig, ServerConnection};
 
 /// This machine or program is out of descriptors or buffers; the peer has no part in it.
 pub fn is_shortage(error: &io::Error) -> bool {
@@ -34,6 +37,8 @@
     pub signals: Vec<calloop::signals::Signal>,
     /// The timer has fired, and is gone.
     pub due: bool,
+    /// Key files that changed, or why they cannot be used.
+    pub known: Vec<Result<Known, WatchError>>,
 }
 
 pub type Loop = LoopHandle<'static, Ready>;
@@ -54,6 +59,8 @@
     pub ended: bool,
     /// The machine may still hold bytes that no edge will announce again.
     unread: bool,
+    /// From the start of its handshake on: what is read and written goes through it.
+    tls: Option<Box<ServerConnection>>,
 }
 
 impl Socket {
@@ -79,6 +86,7 @@
             put: 0,
             ended: false,
             unread: true,
+            tls: None,
         })
     }
 
@@ -108,6 +116,46 @@
         self.unread = true;
     }
 
+    /// All from here on is TLS, what has come already too: bytes put before the handshake are no command of anybody.
+    pub fn start_tls(&mut self, config: Arc<ServerConfig>) -> io::Result<()> {
+        let mut tls = ServerConnection::new(config).map_err(io::Error::other)?;
+        // What may wait to be written is bounded by who puts it.
+        tls.set_buffer_limit(None);
+        self.tls = Some(Box::new(tls));
+        let come = self.inbox.split();
+        self.decrypt(&come)
+    }
+
+    pub fn is_tls(&self) -> bool {
+        self.tls.is_some()
+    }
+
+    /// Takes bytes of the peer's: as they are, or what they say through TLS. A record of no use ends the connection.
+    fn decrypt(&mut self, mut come: &[u8]) -> io::Result<()> {
+        let Some(tls) = &mut self.tls else {
+            self.inbox.extend_from_slice(come);
+            return Ok(());
+        };
+        while !come.is_empty() {
+            tls.read_tls(&mut come)?;
+            let state = match tls.process_new_packets() {
+                Ok(state) => state,
+                Err(error) => {
+                    // Its alert goes out first, or the client would only see a reset.
+                    let mut alert = Vec::new();
+                    let _ = tls.write_tls(&mut alert);
+                    let _ = (&*self.stream).write(&alert);
+                    return Err(io::Error::new(ErrorKind::InvalidData, error));
+                }
+            };
+            let before = self.inbox.len();
+            self.inbox.resize(before + state.plaintext_bytes_to_read(), 0);
+            tls.reader().read_exact(&mut self.inbox[before..])?;
+            self.ended |= state.peer_has_closed();
+        }
+        Ok(())
+    }
+
     /// Reads what is there, up to `bound` in the inbox: a peer that sends without end gets no more of a turn.
     /// An inbox has the size of what waits in it, not of what could.
     pub fn fill(&mut self, bound: usize) -> io::Result<()> {
@@ -115,7 +163,7 @@
         while self.unread && !self.ended && self.inbox.len() < bound {
             match (&*self.stream).read(&mut chunk) {
                 Ok(0) => self.ended = true,
-                Ok(n) => self.inbox.extend_from_slice(&chunk[..n]),
+                Ok(n) => self.decrypt(&chunk[..n])?,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => self.unread = false,
                 Err(error) => return Err(error),
@@ -131,11 +179,18 @@
 
     pub fn put(&mut self, bytes: &[u8]) {
         self.put += bytes.len() as u64;
-        self.out.extend_from_slice(bytes);
+        match &mut self.tls {
+            // Into its buffer, which has no limit: this cannot fail.
+            Some(tls) => drop(tls.writer().write_all(bytes)),
+            None => self.out.extend_from_slice(bytes),
+        }
     }
 
     /// Writes what the machine takes; the rest follows when an edge tells of room.
     pub fn flush(&mut self) -> io::Result<()> {
+        while let Some(tls) = self.tls.as_mut().filter(|tls| tls.wants_write()) {
+            tls.write_tls(&mut (&mut self.out).writer())?;
+        }
         while !self.out.is_empty() {
             match (&*self.stream).write(&self.out) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
@@ -156,11 +211,16 @@
     }
 
     pub fn unwritten(&self) -> usize {
-        self.out.len()
+        self.out.len() + usize::from(self.tls.as_ref().is_some_and(|tls| tls.wants_write()))
     }
 
     /// No more is written: the peer reads to the end and then finds it.
-    pub fn finish(&self) {
+    pub fn finish(&mut self) {
+        if let Some(tls) = &mut self.tls {
+            tls.send_close_notify();
+            let _ = tls.write_tls(&mut (&mut self.out).writer());
+            let _ = (&*self.stream).write(&self.out);
+        }
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,9 +1,11 @@
 //! The operator's file: HCL, in blocks by subsystem. A field that is not known, cannot be used or contradicts another
 //! is one error that names file, line and field. Without a file, or without its block, a subsystem is off.
 
+mod identity_block;
 mod place;
 mod queues_block;
 
+pub use identity_block::Callers;
 pub use queues_block::Queues as QueuesBlock;
 
 use std::path::{Path, PathBuf};
@@ -39,6 +41,7 @@
 #[serde(deny_unknown_fields, default)]
 struct File {
     queues: Option<queues_block::Queues>,
+    identity: Option<identity_block::Identity>,
 }
 
 /// What the file says, checked.
@@ -46,6 +49,7 @@
 pub struct Operator {
     /// Budgets of all gateways together.
     pub queues: Option<queues::Terms>,
+    pub identity: Option<Callers>,
 }
 
 impl Operator {
@@ -83,7 +87,9 @@
             }
             located(Fault { path, why })
         })?;
-        let queues = read.queues.map(queues_block::Queues::terms).transpose().map_err(located)?.flatten();
-        Ok(Operator { queues })
+        let queues = read.queues.map(queues_block::Queues::terms).transpose().map_err(&located)?.flatten();
+        let identity =
+            read.identity.map(identity_block::Identity::callers).transpose().map_err(&located)?.flatten();
+        Ok(Operator { queues, identity })
     }
 }
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -82,3 +82,18 @@
             .starts_with("/nonexistent.hcl: ")
     );
 }
+
+#[test]
+fn callers_have_their_files_and_times_checked() {
+    let good = "identity {\n  keys_folder = \"k\"\n  certificate = \"c\"\n  private_key = \"p\"\n  grace_ms = 2000\n}\n";
+    let callers = Operator::parse(Path::new("site.hcl"), good).unwrap().identity.unwrap();
+    assert_eq!((callers.terms.grace.secs(), callers.terms.skew.secs()), (2.0, 5.0));
+    for (change, to, want) in [
+        ("  private_key = \"p\"\n", "", "site.hcl:1: identity: missing field `private_key`"),
+        ("2000", "-2", "site.hcl:5: identity.grace_ms: -2 is not between"),
+        ("grace_ms", "grace", "site.hcl:5: identity.grace: unknown field"),
+    ] {
+        let got = error(&good.replacen(change, to, 1));
+        assert!(got.starts_with(want), "{got}, not {want}");
+    }
+}
--- a/deploy/laurelhitch.hcl
+++ b/deploy/laurelhitch.hcl
@@ -24,3 +24,15 @@
 #   member "south-power" { cpu_s_per_s = 14.0 }
 #   member "harbour-gas" { cpu_s_per_s = 9.0 }
 # }
+
+# identity {
+#   keys_folder      = "/etc/laurelhitch/keys"       # kept by `laurelhitch keys` and `laurelhitch token`
+#   certificate      = "/etc/laurelhitch/tls.pem"    # the chain, PEM
+#   private_key      = "/etc/laurelhitch/tls.key"
+#   skew_ms          = 5000     # how far clocks may differ
+#   grace_ms         = 30000    # so long a key may still be arriving
+#   back_ms          = 500      # when such a caller is told to come back
+#   longest_token_ms = 86400000
+#   remembered       = 10000    # verdicts
+#   checks_per_s     = 500      # signatures checked a second beyond those that hold
+# }
