--- a/crates/identity/src/guard.rs
+++ b/crates/identity/src/guard.rs
@@ -128,8 +128,8 @@
     pub fn verdict(&mut self, now: Moment, token: &str) -> Verdict {
         self.ring.look(now);
         let digest = Sha256::digest(token.as_bytes()).into();
-        if let Some(claims) = self.verdicts.get(now, &digest) {
-            return self.hold(now, claims, token);
+        if let Some((id, claims)) = self.verdicts.get(now, &digest) {
+            return self.hold(now, claims, &id);
         }
         let id = match token::key_of(token) {
             Ok(id) => id,
@@ -153,9 +153,9 @@
             Ok(claims) => {
                 self.checks.0 = (self.checks.0 + 1.0).min(self.terms.checks_per_s);
                 let claims = Arc::new(claims);
-                let verdict = self.hold(now, claims.clone(), token);
+                let verdict = self.hold(now, claims.clone(), &id);
                 if let Verdict::Granted { until, .. } = verdict {
-                    self.verdicts.put(now, digest, claims, until);
+                    self.verdicts.put(now, digest, (Arc::new(id), claims), until);
                 }
                 verdict
             }
@@ -181,9 +181,8 @@
     }
 
     /// Of a token whose signature holds.
-    fn hold(&mut self, now: Moment, claims: Arc<Claims>, token: &str) -> Verdict {
-        let Ok(id) = token::key_of(token) else { return Verdict::Refused(Why::Token(TokenError::Form)) };
-        if self.ring.standing(now, &id) == Standing::Withdrawn {
+    fn hold(&self, now: Moment, claims: Arc<Claims>, id: &KeyId) -> Verdict {
+        if self.ring.standing(now, id) == Standing::Withdrawn {
             return Verdict::Refused(Why::Withdrawn);
         }
         if self.revoked.holds(Kind::Token, &claims.id) {
@@ -202,11 +201,11 @@
         if now < from {
             return Verdict::Later { back: (from - now).min(self.terms.back) };
         }
-        let signed = self.ring.signed_at(&id, Moment::from_secs(claims.issued_s), self.terms.skew);
+        let signed = self.ring.signed_at(id, Moment::from_secs(claims.issued_s), self.terms.skew);
         if !signed {
             return Verdict::Refused(Why::NotSigning);
         }
-        let until = self.ring.withdrawn_at(&id).map_or(until, |at| until.min(at));
+        let until = self.ring.withdrawn_at(id).map_or(until, |at| until.min(at));
         Verdict::Granted { claims, until }
     }
 }
--- a/crates/identity/src/verdicts.rs
+++ b/crates/identity/src/verdicts.rs
@@ -6,12 +6,14 @@
 
 use admission::interface::Moment;
 
+use crate::keys::KeyId;
 use crate::token::Claims;
 
 pub type Digest = [u8; 32];
 
 #[derive(Clone, Debug)]
 struct Known {
+    key: Arc<KeyId>,
     claims: Arc<Claims>,
     ends: Moment,
     used: u64,
@@ -31,17 +33,24 @@
         Verdicts { most, known: BTreeMap::new(), order: BTreeSet::new(), ends: BTreeSet::new(), uses: 0 }
     }
 
-    pub fn get(&mut self, now: Moment, digest: &Digest) -> Option<Arc<Claims>> {
+    /// The key that signed it, and what it says.
+    pub fn get(&mut self, now: Moment, digest: &Digest) -> Option<(Arc<KeyId>, Arc<Claims>)> {
         self.forget_ended(now);
         let known = self.known.get_mut(digest)?;
         self.uses += 1;
         self.order.remove(&(known.used, *digest));
         known.used = self.uses;
         self.order.insert((known.used, *digest));
-        Some(known.claims.clone())
+        Some((known.key.clone(), known.claims.clone()))
     }
 
-    pub fn put(&mut self, now: Moment, digest: Digest, claims: Arc<Claims>, ends: Moment) {
+    pub fn put(
+        &mut self,
+        now: Moment,
+        digest: Digest,
+        (key, claims): (Arc<KeyId>, Arc<Claims>),
+        ends: Moment,
+    ) {
         self.forget_ended(now);
         if self.most == 0 || ends <= now {
             return;
@@ -55,7 +64,7 @@
         self.uses += 1;
         self.order.insert((self.uses, digest));
         self.ends.insert((ends, digest));
-        self.known.insert(digest, Known { claims, ends, used: self.uses });
+        self.known.insert(digest, Known { key, claims, ends, used: self.uses });
     }
 
     fn remove(&mut self, digest: &Digest) {
