Free connections are preferred, and small shares start at their widest bound

At fault: choose() took the fullest bucket, and one relay empties a small share's bucket for longer (15 s at 0.03 cores) than engines keep idle connections, so that each gateway went round all 80 engines; told_list() started the bound over all engines at one thread a core of a share of three cores. Change: the settings' idle time reaches the module (Fleet::idle); an engine with a connection that stands free goes first. Where shares are under a thread an engine, the bound over all of them starts at its cap.

--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -117,6 +117,8 @@
     pub memory_mb: Vec<f64>,
     pub note_pace: Option<Span>,
     pub ranks_heeded: bool,
+    /// Connections to engines end when idle for so long, and opening one costs; none where untold.
+    pub idle: Option<Span>,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -226,6 +226,8 @@
     health: Health,
     cold_left: f64,
     waiting: f64,
+    /// Connections there as far as own relays tell, and when one was last taken.
+    linked: (u32, Option<Moment>),
 }
 
 impl Engine {
@@ -236,6 +238,12 @@
         (self.health.trial, self.health.due, self.health.failures) = (None, None, 0.0);
     }
 
+    /// Connections that stand; some time is left for the way to it, or the engine's close would cross a relay.
+    fn linked(&self, now: Moment, idle: Span) -> u32 {
+        let (most, taken) = self.linked;
+        if taken.is_some_and(|taken| (now - taken).secs() < idle.secs() * 0.7) { most } else { self.out }
+    }
+
     fn heard(&mut self, now: Moment, pace: f64) {
         self.health.due = (self.out > 0).then(|| now + Span::from_secs(pace));
     }
@@ -528,6 +536,7 @@
                 health: Health::default(),
                 cold_left: -self.rng.random::<f64>() * usual.max(1.0),
                 waiting: 0.0,
+                linked: (0, None),
             };
             let engine = self.engines.entry(fact.id).or_insert_with(|| fresh.clone());
             // A new start: what was learned of the old process is void, what is still out there is not.
@@ -541,7 +550,15 @@
         self.engines.retain(|_, e| e.fact.stage != Stage::Gone || e.out > 0);
         let ready = || self.engines.values().filter(|e| e.fact.stage == Stage::Ready).map(|e| &e.books);
         let (cores, before) = (ready().map(|b| b.cores).sum::<f64>(), self.whole.cores);
-        let kept = if before > 0.0 { self.whole.bound / before } else { 1.0 };
+        // Shares under a thread an engine start widest over all of them: each restart would deny until outcomes widen it.
+        let small = cores < ready().count() as f64;
+        let kept = if before > 0.0 {
+            self.whole.bound / before
+        } else if small {
+            WIDEST
+        } else {
+            1.0
+        };
         (self.whole.cores, self.whole.bound) = (cores, (cores * kept).max(1.0));
         self.whole.memory_mb = ready().map(|b| b.memory_mb).sum();
     }
@@ -694,7 +711,11 @@
                 continue;
             }
             let last = if s.relays.iter().any(|r| r.engine == engine.fact.id) { 1e3 } else { 0.0 };
-            let score = own.left[p] / (own.full(share) * warmth).max(1e-9) - last;
+            // A free connection saves a handshake: one relay empties a small share's bucket for longer than engines
+            // keep idle connections, so the fullest bucket alone would open one for nearly every relay.
+            let linked =
+                if self.fleet.idle.is_some_and(|i| engine.linked(now, i) > engine.out) { 1e2 } else { 0.0 };
+            let score = own.left[p] / (own.full(share) * warmth).max(1e-9) + linked - last;
             let score = score + self.rng.random::<f64>() * 0.01;
             best = best.filter(|(most, _)| *most >= score).or(Some((score, engine.fact.id)));
         }
@@ -711,7 +732,9 @@
             books.run(rank, threads, need);
         }
         engine.cold_left -= usual;
+        let linked = self.fleet.idle.map_or(0, |idle| engine.linked(now, idle));
         engine.out += 1;
+        engine.linked = (linked.max(engine.out), Some(now));
         let lag = engine.books.lag.now().unwrap_or(1.0);
         let due = now + Span::from_secs((4.0 * predicted * lag / threads + 0.5).min(pace));
         engine.health.due = Some(engine.health.due.map_or(due, |d| d.min(due)));
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -157,6 +157,7 @@
         memory_mb: vec![engines.memory_mb],
         note_pace: Some(Span::from_secs(engines.note_ms / 1e3)),
         ranks_heeded: false,
+        idle: None,
     };
     let cold = ColdStart {
         share: engines.cold_share,
--- a/crates/queues/tests/hall.rs
+++ b/crates/queues/tests/hall.rs
@@ -40,6 +40,7 @@
         cores: vec![4.0],
         memory_mb: vec![1000.0],
         note_pace: Some(span(0.5)),
+        idle: None,
         ranks_heeded: true,
     };
     let come_back = Some(span(0.5));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -155,6 +155,7 @@
             memory_mb: self.numbers("Extra.MemoryByKindMb")?,
             note_pace: self.span("Extra.ProgressPaceS")?.filter(|pace| *pace > Span::ZERO),
             ranks_heeded: self.may("Extra.RanksHeeded")?.unwrap_or(false),
+            idle: self.span("Limits.ConnIdleS")?.filter(|idle| *idle > Span::ZERO),
         };
         let cold = match self.number("Rules.StartCapacity")? {
             None => None,
