--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -305,6 +305,25 @@
     pub disks: Option<f64>,
 }
 
+/// How an engine stands with this gateway, for those who tell others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineHealth {
+    pub id: EngineId,
+    pub benched_until: Option<Moment>,
+    /// By what others saw, not by what this gateway did.
+    pub on_hearsay: bool,
+}
+
+/// Enough other gateways lost statements to this engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineDoubt {
+    pub id: EngineId,
+    /// What they saw is no older than this.
+    pub seen: Moment,
+    /// It says nothing any more from here on.
+    pub until: Moment,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListAsk {
     Subscribe,
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -135,6 +135,8 @@
     benched_until: Option<Moment>,
     bench: f64,
     trial: Option<StatementId>,
+    worked: Option<Moment>,
+    hearsay: bool,
 }
 
 /// What may run and runs on an engine, and once more on all: a small share of one holds no whole statement.
@@ -236,9 +238,10 @@
         self.health.bench = (self.health.bench * 2.0).clamp(1.0, 8.0);
         self.health.benched_until = Some(now + Span::from_secs(self.health.bench));
         (self.health.trial, self.health.due, self.health.failures) = (None, None, 0.0);
+        self.health.hearsay = false;
     }
 
-    /// Connections that stand; some time is left for the way to it, or the engine's close would cross a relay.
+    /// Connections that stand; some time is left for the way, or the engine's close would cross a relay.
     fn linked(&self, now: Moment, idle: Span) -> u32 {
         let (most, taken) = self.linked;
         if taken.is_some_and(|taken| (now - taken).secs() < idle.secs() * 0.7) { most } else { self.out }
@@ -459,6 +462,7 @@
             News::Completed { cpu, memory_mb } => {
                 let h = &mut engine.health;
                 (h.failures, h.bench, h.benched_until) = (h.failures * 0.8, h.bench * 0.98, None);
+                (h.worked, h.hearsay) = (Some(now), false);
                 let true_cpu = cpu.map_or(charge, Span::secs);
                 let fleet = books[1].lag.clone();
                 // On one engine as far as one peer that is away explains, or a hot gateway would fill it alone.
@@ -550,7 +554,7 @@
         self.engines.retain(|_, e| e.fact.stage != Stage::Gone || e.out > 0);
         let ready = || self.engines.values().filter(|e| e.fact.stage == Stage::Ready).map(|e| &e.books);
         let (cores, before) = (ready().map(|b| b.cores).sum::<f64>(), self.whole.cores);
-        // Shares under a thread an engine start widest over all of them: each restart would deny until outcomes widen it.
+        // Shares under a thread an engine start widest over all: each restart would deny until outcomes widen it.
         let small = cores < ready().count() as f64;
         let kept = if before > 0.0 {
             self.whole.bound / before
@@ -563,6 +567,29 @@
         self.whole.memory_mb = ready().map(|b| b.memory_mb).sum();
     }
 
+    /// Enough others lost statements there: left out while that is fresh and, by chance, some time longer; then one
+    /// statement is the trial. What it did for this gateway since outweighs it; a bench of one's own stands.
+    pub fn told_doubts(&mut self, now: Moment, doubts: &[EngineDoubt]) {
+        for doubt in doubts {
+            let Some(e) = self.engines.get_mut(&doubt.id) else { continue };
+            let since = e.health.worked.max(e.fact.started);
+            let own = e.health.benched_until.is_some_and(|until| !e.health.hearsay || until >= doubt.until);
+            if doubt.until > now && !own && since.is_none_or(|since| since < doubt.seen) {
+                let later = (doubt.until - now).secs() * (1.0 + self.rng.random::<f64>());
+                (e.health.benched_until, e.health.hearsay) = (Some(now + Span::from_secs(later)), true);
+            }
+        }
+    }
+
+    pub fn health(&self) -> impl Iterator<Item = EngineHealth> {
+        let of = |(id, e): (&EngineId, &Engine)| (*id, e.health.benched_until, e.health.hearsay);
+        self.engines.iter().map(of).map(|(id, benched_until, on_hearsay)| EngineHealth {
+            id,
+            benched_until,
+            on_hearsay,
+        })
+    }
+
     /// What it holds of each engine, to be checked from outside: relays out, and whether it is benched.
     pub fn beliefs(&self) -> impl Iterator<Item = (EngineId, u32, bool)> {
         self.engines.iter().map(|(id, e)| (*id, e.out, e.health.benched_until.is_some()))
@@ -711,8 +738,8 @@
                 continue;
             }
             let last = if s.relays.iter().any(|r| r.engine == engine.fact.id) { 1e3 } else { 0.0 };
-            // A free connection saves a handshake: one relay empties a small share's bucket for longer than engines
-            // keep idle connections, so the fullest bucket alone would open one for nearly every relay.
+            // A free connection saves a handshake: one relay empties a small share's bucket for longer than idle
+            // connections are kept, so the fullest bucket alone would open one for nearly every relay.
             let linked =
                 if self.fleet.idle.is_some_and(|i| engine.linked(now, i) > engine.out) { 1e2 } else { 0.0 };
             let score = own.left[p] / (own.full(share) * warmth).max(1e-9) + linked - last;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -274,6 +274,16 @@
         self.policy.told_load(engine, report);
     }
 
+    /// What others lost statements to.
+    pub fn told_doubts(&mut self, now: Moment, doubts: &[EngineDoubt]) {
+        self.policy.told_doubts(now, doubts);
+    }
+
+    /// How each engine stands.
+    pub fn health(&self) -> impl Iterator<Item = EngineHealth> {
+        self.policy.health()
+    }
+
     /// Relays out to each engine as the decisions hold them, and whether it is benched.
     pub fn beliefs(&self) -> impl Iterator<Item = (EngineId, u32, bool)> {
         self.policy.beliefs()
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,24 @@
+//! Which gateways there are, who has failed, and what holds while they disagree or are cut off. Pure: datagrams and
+//! time in, datagrams, events and the next due time out; chance from a given seed. Nothing here does I/O.
+//!
+//! One word alone moves nothing: what a gateway hears of a third one counts once as many independent gateways say it as
+//! could lie, and one more, or once it has looked for itself. See docs/notes/fleet.md.
+
+pub mod engines;
+pub mod gateway;
+pub mod keys;
+pub mod letter;
+pub mod probes;
+pub mod standing;
+pub mod table;
+pub mod terms;
+pub mod who;
+
+pub use engines::{EngineNews, EngineWord};
+pub use gateway::{Datagram, Event, Gateway, Tally};
+pub use keys::{KeyError, Ring};
+pub use letter::Refused;
+pub use standing::{Assumed, Standing};
+pub use table::Row;
+pub use terms::Terms;
+pub use who::{Incarnation, Life, Name, Place, Record, State};
--- /dev/null
+++ b/crates/fleet/src/table.rs
@@ -0,0 +1,233 @@
+//! What one gateway holds of the others: who is known, on whose word, since when.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+
+use admission::interface::{Moment, Span};
+use sha2::{Digest, Sha256};
+
+use crate::letter::{Seen, View};
+use crate::who::{Life, Name, Record, State};
+
+/// Voices kept about one gateway, the latest; and how long a voice counts.
+const VOICES: usize = 8;
+const VOICE_S: f64 = 20.0;
+/// How long one that is hearsay alone stays.
+const HEARSAY_S: f64 = 30.0;
+/// Looks at one never met before it is dropped.
+const LOOKS: u8 = 2;
+
+#[derive(Clone, Debug)]
+pub struct Voice {
+    pub says: Record,
+    pub at: Moment,
+    pub host: IpAddr,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Suspicion {
+    pub began: Moment,
+}
+
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub record: Record,
+    /// It answered here, or enough say that it is there. Else it is hearsay, and no part of the fleet.
+    pub known: bool,
+    pub since: Moment,
+    /// When it last answered this gateway itself.
+    pub answered: Option<Moment>,
+    pub suspicion: Option<Suspicion>,
+    pub voices: BTreeMap<Name, Voice>,
+    pub seen: (Life, Seen),
+    pub failed_looks: u8,
+    /// Of name and life, as they go into the view's digest.
+    mark: (Life, u64),
+}
+
+fn mark(record: &Record) -> u64 {
+    let mut hash = Sha256::new();
+    hash.update(record.name.as_str().as_bytes());
+    hash.update(record.life.0.to_le_bytes());
+    let hash = hash.finalize();
+    u64::from_le_bytes(std::array::from_fn(|at| hash[at]))
+}
+
+impl Held {
+    fn new(now: Moment, record: Record, known: bool) -> Self {
+        let (seen, life, mark_of) = ((record.life, Seen::default()), record.life, mark(&record));
+        Held {
+            record,
+            known,
+            since: now,
+            answered: None,
+            suspicion: None,
+            voices: BTreeMap::new(),
+            seen,
+            failed_looks: 0,
+            mark: (life, mark_of),
+        }
+    }
+
+    pub fn counts(&self) -> bool {
+        self.known && self.record.state.counts()
+    }
+
+    /// Different hosts among the voices that this holds for; several gateways of one host are one voice.
+    pub fn hosts(&self, now: Moment, that: impl Fn(&Record) -> bool) -> BTreeSet<IpAddr> {
+        let fresh = |voice: &&Voice| (now - voice.at).secs() < VOICE_S && that(&voice.says);
+        self.voices.values().filter(fresh).map(|voice| voice.host).collect()
+    }
+
+    /// The record that `need` hosts at least vouch for, if any: of the same life and address, at an incarnation that so
+    /// many reach, so that a single voice moves neither.
+    pub fn vouched(&self, now: Moment, need: usize, that: impl Fn(&Record) -> bool) -> Option<Record> {
+        let fresh = |voice: &&Voice| (now - voice.at).secs() < VOICE_S && that(&voice.says);
+        let mut by: BTreeMap<(Life, std::net::SocketAddr), BTreeMap<IpAddr, &Record>> = BTreeMap::new();
+        for voice in self.voices.values().filter(fresh) {
+            let hosts = by.entry((voice.says.life, voice.says.address)).or_default();
+            let best = hosts.entry(voice.host).or_insert(&voice.says);
+            if voice.says.incarnation > best.incarnation {
+                *best = &voice.says;
+            }
+        }
+        let enough = by.into_values().filter(|hosts| hosts.len() >= need).filter_map(|hosts| {
+            let mut records: Vec<&Record> = hosts.into_values().collect();
+            records.sort_by_key(|record| std::cmp::Reverse(record.incarnation));
+            records.get(need.max(1) - 1).map(|record| (*record).clone())
+        });
+        enough.max_by_key(|record| record.incarnation)
+    }
+}
+
+/// One line of what an operator sees.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    pub record: Record,
+    pub known: bool,
+    pub since: Moment,
+}
+
+#[derive(Clone, Debug)]
+pub struct Table {
+    most: usize,
+    held: BTreeMap<Name, Held>,
+    view: Option<View>,
+}
+
+impl Table {
+    pub fn new(most: usize) -> Self {
+        Table { most, held: BTreeMap::new(), view: None }
+    }
+
+    pub fn get(&self, name: &Name) -> Option<&Held> {
+        self.held.get(name)
+    }
+
+    /// Whoever may change what is in the fleet goes through here.
+    pub fn get_mut(&mut self, name: &Name) -> Option<&mut Held> {
+        self.view = None;
+        self.held.get_mut(name)
+    }
+
+    /// For what does not change who is in the fleet.
+    pub fn beside(&mut self, name: &Name) -> Option<&mut Held> {
+        self.held.get_mut(name)
+    }
+
+    /// Adds one, if there is room: hearsay makes room for what is known, never the other way round.
+    pub fn add(&mut self, now: Moment, record: Record, known: bool) -> bool {
+        if self.held.len() >= self.most {
+            let weakest = self.held.iter().filter(|(_, held)| !held.known);
+            let weakest = weakest.min_by_key(|(_, held)| (held.voices.len(), held.since));
+            let Some(name) = weakest.filter(|_| known).map(|(name, _)| name.clone()) else { return false };
+            self.held.remove(&name);
+        }
+        self.view = None;
+        self.held.insert(record.name.clone(), Held::new(now, record, known));
+        true
+    }
+
+    pub fn remove(&mut self, name: &Name) {
+        self.view = None;
+        self.held.remove(name);
+    }
+
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &Held> {
+        self.held.values()
+    }
+
+    /// Those in the fleet, in the order of their names.
+    pub fn fleet(&self) -> impl Iterator<Item = &Held> {
+        self.held.values().filter(|held| held.counts())
+    }
+
+    pub fn after(&self, name: Option<&Name>) -> impl Iterator<Item = &Held> {
+        use std::ops::Bound::{Excluded, Unbounded};
+        let from = name.map_or(Unbounded, Excluded);
+        self.held.range::<Name, _>((from, Unbounded)).map(|(_, held)| held).filter(|held| held.known)
+    }
+
+    pub fn voice(&mut self, now: Moment, by: &Name, host: IpAddr, says: Record) {
+        let Some(held) = self.held.get_mut(&says.name) else { return };
+        if held.voices.len() >= VOICES && !held.voices.contains_key(by) {
+            let oldest = held.voices.iter().min_by_key(|(_, voice)| voice.at).map(|(name, _)| name.clone());
+            oldest.map(|name| held.voices.remove(&name));
+        }
+        held.voices.insert(by.clone(), Voice { says, at: now, host });
+    }
+
+    /// A look at one came to nothing. Hearsay of one that never answers leaves.
+    pub fn not_there(&mut self, name: &Name) {
+        let Some(held) = self.held.get_mut(name) else { return };
+        held.failed_looks += 1;
+        if !held.known && held.failed_looks >= LOOKS {
+            self.held.remove(name);
+        }
+    }
+
+    /// What went leaves nothing behind after `keep`, hearsay neither.
+    pub fn forget(&mut self, now: Moment, keep: Span) {
+        let before = self.held.len();
+        self.held.retain(|_, held| {
+            let gone = now - held.since;
+            if held.known { held.record.state.counts() || gone < keep } else { gone.secs() < HEARSAY_S }
+        });
+        if self.held.len() != before {
+            self.view = None;
+        }
+        let stale = |voice: &Voice| (now - voice.at).secs() >= VOICE_S;
+        self.held.values_mut().for_each(|held| held.voices.retain(|_, voice| !stale(voice)));
+    }
+
+    /// The fleet with this gateway in it: the same for all that hold the same gateways in the same lives, whatever the
+    /// order in which they came to hold them. What is suspected still counts.
+    pub fn view(&mut self, own: &Record) -> View {
+        if let Some(view) = self.view {
+            return view;
+        }
+        let own = (own.state == State::Alive).then(|| mark(own));
+        let held = self.held.values_mut().filter(|held| held.counts()).map(|held| {
+            if held.mark.0 != held.record.life {
+                held.mark = (held.record.life, mark(&held.record));
+            }
+            held.mark.1
+        });
+        let (digest, size) = held.chain(own).fold((0, 0u16), |sum, of| (sum.0 ^ of, sum.1.saturating_add(1)));
+        let view = View { digest, size };
+        self.view = Some(view);
+        view
+    }
+
+    pub fn own_changed(&mut self) {
+        self.view = None;
+    }
+}
--- a/crates/gateway/src/board/list.rs
+++ b/crates/gateway/src/board/list.rs
@@ -104,6 +104,14 @@
         Names { locations, machines, next: 0, engines: BTreeMap::new() }
     }
 
+    pub fn id(&self, uid: &str) -> Option<EngineId> {
+        self.engines.get(uid).copied()
+    }
+
+    pub fn uid(&self, id: EngineId) -> Option<&str> {
+        self.engines.iter().find(|(_, of)| **of == id).map(|(uid, _)| &uid[..])
+    }
+
     pub fn told(&mut self, change: &Change) -> Told {
         let mut addresses = Vec::new();
         if change.whole {
--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -57,6 +57,11 @@
         text: Bytes,
         id: Option<String>,
     },
+    /// The other gateways.
+    Fleet {
+        session: u32,
+        text: Bytes,
+    },
     Kill {
         by: u32,
         session: u32,
@@ -415,6 +420,10 @@
                     let (text, from) = (Bytes::copy_from_slice(text), session.from);
                     self.news.push(News::Asked { session: id, text, from });
                 }
+                Query::Fleet => {
+                    session.asked = true;
+                    self.news.push(News::Fleet { session: id, text: Bytes::copy_from_slice(text) });
+                }
                 Query::Queue(rid) => {
                     session.asked = true;
                     let (text, id_of) = (Bytes::copy_from_slice(text), rid.map(String::from));
--- a/crates/gateway/src/clients/packets.rs
+++ b/crates/gateway/src/clients/packets.rs
@@ -276,6 +276,8 @@
     },
     /// What waits: all teams, or the statement of this id.
     Queue(Option<&'a str>),
+    /// The other gateways.
+    Fleet,
     /// Of an ordinary client's set-up: `SET` and the like.
     Fine,
     /// `SELECT @@name`, with its name.
@@ -294,6 +296,9 @@
         let number = if whole && !is(second, "connection") { second } else { third };
         return number.parse().map_or(Query::Statement, |connection| Query::Kill { connection, whole });
     }
+    if is(first, "show") && is(second, "fleet") && third.is_empty() {
+        return Query::Fleet;
+    }
     if is(first, "show") && is(second, "queue") {
         let id = more.strip_prefix('\'').and_then(|id| id.strip_suffix('\''));
         match id {
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -61,6 +61,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Asks a running gateway which others it knows, and how they agree.
+    Fleet {
+        address: SocketAddr,
+        #[arg(long)]
+        json: bool,
+    },
+    /// The folder of the fleet's keys.
+    #[command(subcommand)]
+    FleetKeys(FleetKeys),
     /// The folder of signing keys.
     #[command(subcommand)]
     Keys(credentials::Keys),
@@ -71,6 +80,28 @@
     Completions { shell: clap_complete::Shell },
 }
 
+#[derive(Debug, Subcommand)]
+pub enum FleetKeys {
+    /// Makes a key that is accepted from the next reading on; the first of a folder signs.
+    Add {
+        folder: PathBuf,
+        name: String,
+    },
+    /// From the next reading on this one signs: first let every gateway accept it.
+    Sign {
+        folder: PathBuf,
+        name: String,
+    },
+    /// Takes a key away that signs nowhere any more.
+    Remove {
+        folder: PathBuf,
+        name: String,
+    },
+    List {
+        folder: PathBuf,
+    },
+}
+
 type Done = Result<(), Box<dyn Error>>;
 
 pub fn run(line: CommandLine) -> Done {
@@ -81,6 +112,8 @@
         Command::Queue { address, member, rid, json } => {
             queue(address, member.as_deref(), rid.as_deref(), json)
         }
+        Command::Fleet { address, json } => fleet(address, json),
+        Command::FleetKeys(command) => fleet_keys(command),
         Command::Keys(command) => credentials::keys(command),
         Command::Token(command) => credentials::token(command),
         Command::Completions { shell } => {
@@ -118,6 +151,23 @@
     println!("  members: {}", config.settings.tenant_names()?.join(", "));
     let file = operator.as_deref().map_or("no operator's file".to_owned(), shown);
     let operated = Operated::read(operator, &config)?;
+    if let Some((name, terms)) = &operated.fleet {
+        let keys = crate::fleet::files::read(&terms.keys_folder)?;
+        println!(
+            "{file}: fleet {} is on; this is {name}, bound to {}, reached at {}",
+            terms.fleet, terms.bind, terms.advertise
+        );
+        let seeds: Vec<String> = terms.seeds.iter().map(ToString::to_string).collect();
+        println!("  seeds {}; {} keys accepted", seeds.join(", "), keys.accepted().count());
+        let paces = &terms.paces;
+        println!(
+            "  probes each {} s, answers within {} s, {} helpers; hearsay counts from {} gateways on",
+            paces.period.secs(),
+            paces.answer.secs(),
+            paces.helpers,
+            paces.voices()
+        );
+    }
     let Some(terms) = operated.queues else {
         println!("{file}: queues are off");
         return Ok(());
@@ -149,6 +199,39 @@
     format!("operator's file {}", file.display())
 }
 
+fn fleet(address: SocketAddr, as_json: bool) -> Done {
+    let rows = match Client::login(address)?.ask("SHOW FLEET")? {
+        Answer::Rows(rows) => rows,
+        Answer::Error(..) => {
+            return Err(format!("{address} knows no other gateways: its fleet is off").into());
+        }
+        other => return Err(format!("{address} answered {other:?}").into()),
+    };
+    table(&status::FLEET, &rows, as_json)
+}
+
+fn fleet_keys(command: FleetKeys) -> Done {
+    use crate::fleet::files;
+    match command {
+        FleetKeys::Add { folder, name } => {
+            let mut key = zeroize::Zeroizing::new([0; 32]);
+            let random = rustls::crypto::ring::default_provider().secure_random;
+            random.fill(&mut *key).map_err(|_| "the machine gives no random bytes")?;
+            std::fs::create_dir_all(&folder)?;
+            files::add(&folder, &name, &key)?;
+        }
+        FleetKeys::Sign { folder, name } => files::sign(&folder, &name)?,
+        FleetKeys::Remove { folder, name } => files::remove(&folder, &name)?,
+        FleetKeys::List { folder } => {
+            let (names, signs) = files::list(&folder)?;
+            for name in names {
+                println!("{name}{}", if signs.as_ref() == Some(&name) { "  signs" } else { "" });
+            }
+        }
+    }
+    Ok(())
+}
+
 fn queue(address: SocketAddr, member: Option<&str>, rid: Option<&str>, as_json: bool) -> Done {
     let mut client = Client::login(address)?;
     let (columns, question): (&[&str], String) = match rid {
@@ -164,6 +247,10 @@
         .into_iter()
         .filter(|row| member.is_none_or(|member| row.first().is_some_and(|of| of == member)))
         .collect();
+    table(columns, &rows, as_json)
+}
+
+fn table(columns: &[&str], rows: &[Vec<String>], as_json: bool) -> Done {
     if as_json {
         let number = |value: &str| value.parse::<f64>().map_or_else(|_| json!(value), |number| json!(number));
         let object = |row: &Vec<String>| {
@@ -177,7 +264,7 @@
         |at: usize| rows.iter().map(|row| row[at].len()).chain([columns[at].len()]).max().unwrap_or(0);
     let widths: Vec<usize> = (0..columns.len()).map(width).collect();
     let head: Vec<String> = columns.iter().map(ToString::to_string).collect();
-    for row in [&head].into_iter().chain(&rows) {
+    for row in [&head].into_iter().chain(rows) {
         let cells = row.iter().zip(&widths).enumerate().map(|(at, (cell, width))| {
             if at < 2 { format!("{cell:<width$}") } else { format!("{cell:>width$}") }
         });
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use operator::{Callers, Operator, OperatorError};
+use ::fleet::Name;
+use operator::{Callers, FleetTerms, Operator, OperatorError};
 use queues::Terms;
 use serde_json::Value;
 use settings::{Settings, SettingsError};
@@ -29,6 +30,8 @@
     Operator(#[from] OperatorError),
     #[error("{0}: queues.member.{1}: the configuration knows no such member")]
     Member(String, String),
+    #[error("{0}: fleet.name: the configuration's name cannot be taken: {1}")]
+    Name(String, ::fleet::who::NoName),
 }
 
 /// The operator's file beside the configuration: what of it is in force at this gateway.
@@ -39,6 +42,8 @@
     pub queues: Option<Terms>,
     /// Files and terms by which callers are known; nothing where they are not.
     pub callers: Option<Callers>,
+    /// How gateways know each other, and this one's name; nothing where they don't.
+    pub fleet: Option<(Name, FleetTerms)>,
 }
 
 impl Operated {
@@ -57,7 +62,13 @@
         }
         let part = 1.0 / config.settings.peers()?;
         let queues = operator.queues.map(|terms| terms.part(part));
-        Ok(Operated { file: Some(path), queues, callers: operator.identity })
+        let named = |terms: FleetTerms| {
+            let own =
+                || Name::new(&config.name).map_err(|e| ConfigError::Name(path.display().to_string(), e));
+            Ok::<_, ConfigError>((terms.name.clone().map_or_else(own, Ok)?, terms))
+        };
+        let fleet = operator.fleet.map(named).transpose()?;
+        Ok(Operated { file: Some(path), queues, callers: operator.identity, fleet })
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/fleet/mod.rs
@@ -0,0 +1,260 @@
+//! UDP between gateways on the loop. What comes is read in bounded parts a turn; what goes out never waits. What it all
+//! means is decided in `crates/fleet`.
+
+pub mod files;
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::net::UdpSocket;
+use std::rc::Rc;
+
+use ::fleet::{EngineWord, Event, Gateway, Name, State};
+use admission::interface::*;
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use operator::FleetTerms;
+use thiserror::Error;
+use tracing::{info, warn};
+
+use crate::board::list::Names;
+use crate::socket::{Loop, Peer, Ready};
+use files::FleetKeysError;
+
+/// Datagrams read in one turn: a flood takes no more of it than checking so many codes.
+const READS: usize = 64;
+/// Events in the log a second; the rest are counted.
+const LINES_PER_S: f64 = 5.0;
+/// How often engines' health is compared with what was told of it.
+const LOOK_S: f64 = 0.1;
+
+#[derive(Debug, Error)]
+pub enum FleetError {
+    #[error("fleet: {0}: {1}")]
+    Bind(std::net::SocketAddr, io::Error),
+    #[error("fleet: {0}")]
+    Keys(#[from] FleetKeysError),
+}
+
+pub struct Fleet {
+    terms: FleetTerms,
+    gateway: Gateway,
+    socket: Rc<UdpSocket>,
+    handle: Loop,
+    token: Option<RegistrationToken>,
+    /// The machine may hold datagrams that no edge will announce again.
+    unread: bool,
+    look_at: Moment,
+    /// Benches of this gateway's own that were told, and until when; leaves as they end.
+    told: BTreeMap<EngineId, Moment>,
+    lines: (Moment, f64),
+    pub unlogged: u64,
+    /// Datagrams that the machine would not take.
+    pub unsent: u64,
+}
+
+impl Fleet {
+    /// # Errors
+    /// The address cannot be bound, or a key cannot be used.
+    pub fn start(
+        now: Moment,
+        handle: &Loop,
+        terms: &FleetTerms,
+        name: &Name,
+        seed: u64,
+    ) -> Result<Self, FleetError> {
+        let unable = |error| FleetError::Bind(terms.bind, error);
+        let socket = UdpSocket::bind(terms.bind).map_err(unable)?;
+        socket.set_nonblocking(true).map_err(unable)?;
+        let socket = Rc::new(socket);
+        let source = Generic::new(socket.clone(), Interest::READ, Mode::Edge);
+        let note = |_, _: &mut _, ready: &mut Ready| {
+            ready.peers.push(Peer::Fleet);
+            Ok(PostAction::Continue)
+        };
+        let token = handle.insert_source(source, note).map_err(|e| unable(io::Error::other(e.error)))?;
+        let ring = files::read(&terms.keys_folder)?;
+        let gateway = Gateway::new(
+            now,
+            terms.fleet.clone(),
+            name.clone(),
+            terms.advertise,
+            terms.place.clone(),
+            terms.seeds.clone(),
+            ring,
+            terms.paces.clone(),
+            // The configuration's seed may be one text for many starts: a life must not be.
+            seed ^ u64::from(std::process::id()) << 32 ^ (now - Moment::from_secs(0.0)).secs().to_bits(),
+        );
+        info!(%name, bind = %terms.bind, advertise = %terms.advertise, "fleet");
+        Ok(Fleet {
+            terms: terms.clone(),
+            gateway,
+            socket,
+            handle: handle.clone(),
+            token: Some(token),
+            unread: true,
+            look_at: now,
+            told: BTreeMap::new(),
+            lines: (now, LINES_PER_S),
+            unlogged: 0,
+            unsent: 0,
+        })
+    }
+
+    /// Seeds, keys and paces from now on. Name, addresses and place wait for a restart; they are named.
+    ///
+    /// # Errors
+    /// A key cannot be used: all stays as it was.
+    pub fn change(&mut self, terms: &FleetTerms) -> Result<Vec<&'static str>, FleetError> {
+        let ring = files::read(&terms.keys_folder)?;
+        self.gateway.change(terms.seeds.clone(), ring, terms.paces.clone());
+        let old = std::mem::replace(&mut self.terms, terms.clone());
+        let same = [
+            ("fleet", old.fleet == terms.fleet),
+            ("name", old.name == terms.name),
+            ("bind", old.bind == terms.bind),
+            ("advertise", old.advertise == terms.advertise),
+            ("zone or region", old.place == terms.place),
+        ];
+        Ok(same.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect())
+    }
+
+    pub fn news(&mut self) {
+        self.unread = true;
+    }
+
+    pub fn next_due(&self, now: Moment) -> Moment {
+        if self.unread { now } else { self.gateway.due().min(self.look_at) }
+    }
+
+    /// Reads what came, does what is due, sends what follows.
+    pub fn turn(&mut self, now: Moment) {
+        let mut bytes = [0; 2048];
+        for _ in 0..READS {
+            if !self.unread {
+                break;
+            }
+            match self.socket.recv_from(&mut bytes) {
+                // What counts for nothing is counted by its reason.
+                Ok((size, from)) => drop(self.gateway.receive(now, from, &bytes[..size])),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.unread = false,
+                // An earlier datagram came to nobody; nothing is wrong with this socket.
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionRefused) => {}
+                Err(_) => break,
+            }
+        }
+        if self.gateway.due() <= now && !self.unread {
+            self.gateway.turn(now);
+        }
+        self.flush();
+        self.log(now);
+    }
+
+    fn flush(&mut self) {
+        for datagram in self.gateway.take_out() {
+            let sent = self.socket.send_to(&datagram.bytes, datagram.to);
+            self.unsent += u64::from(sent.is_err());
+        }
+    }
+
+    /// Engines that this gateway lost statements to, or that work again, go to the others; whom enough of them doubt
+    /// comes back, by this gateway's own numbers.
+    pub fn engines(
+        &mut self,
+        now: Moment,
+        health: impl Iterator<Item = EngineHealth>,
+        names: &Names,
+    ) -> Vec<EngineDoubt> {
+        if now < self.look_at {
+            return Vec::new();
+        }
+        self.look_at = now + Span::from_secs(LOOK_S);
+        let benched: BTreeMap<EngineId, Moment> =
+            health.filter_map(|of| Some((of.id, of.benched_until.filter(|_| !of.on_hearsay)?))).collect();
+        for (id, until) in &benched {
+            if self.told.get(id).is_none_or(|told| told < until)
+                && let Some(uid) = names.uid(*id)
+            {
+                self.gateway.saw(now, uid, EngineWord::Bad);
+            }
+        }
+        for id in self.told.keys().filter(|id| !benched.contains_key(id)) {
+            names.uid(*id).into_iter().for_each(|uid| self.gateway.saw(now, uid, EngineWord::Back));
+        }
+        self.told = benched;
+        let doubts = self.gateway.doubted(now).into_iter();
+        doubts
+            .filter_map(|doubt| {
+                Some(EngineDoubt { id: names.id(&doubt.engine)?, seen: doubt.seen, until: doubt.until })
+            })
+            .collect()
+    }
+
+    /// Others are told that it goes; they suspect nothing.
+    pub fn leave(&mut self, now: Moment) {
+        self.gateway.leave(now);
+        self.flush();
+    }
+
+    pub fn gateway(&mut self) -> &mut Gateway {
+        &mut self.gateway
+    }
+
+    /// As the other counters are printed.
+    pub fn counters(&mut self) -> String {
+        let each = self.gateway.tally.each();
+        let mut text: String = each.iter().map(|(name, count)| format!("fleet_{name}={count} ")).collect();
+        text += &format!(
+            "fleet_unlogged={} fleet_unsent={} fleet_size={} ",
+            self.unlogged,
+            self.unsent,
+            self.gateway.size()
+        );
+        text += &format!(
+            "fleet_table={} fleet_standing={} ",
+            self.gateway.table_len(),
+            self.gateway.standing().name().replace(' ', "_")
+        );
+        text
+    }
+
+    fn log(&mut self, now: Moment) {
+        let gone = (now - self.lines.0).secs().max(0.0);
+        self.lines = (now, (self.lines.1 + gone * LINES_PER_S).min(LINES_PER_S * 4.0));
+        for event in self.gateway.take_events() {
+            if self.lines.1 < 1.0 {
+                self.unlogged += 1;
+                continue;
+            }
+            self.lines.1 -= 1.0;
+            match event {
+                Event::Changed { name, state, incarnation } => {
+                    let bad = matches!(state, State::Suspect | State::Dead);
+                    if bad {
+                        warn!(gateway = %name, %state, incarnation = incarnation.0, "fleet: another gateway");
+                    } else {
+                        info!(gateway = %name, %state, incarnation = incarnation.0, "fleet: another gateway");
+                    }
+                }
+                Event::Forgotten(name) => info!(gateway = %name, "fleet: forgotten"),
+                Event::Standing(standing) => {
+                    info!(standing = standing.name(), why = %standing, size = self.gateway.size(), "fleet: standing");
+                }
+                Event::Refuted(incarnation) => {
+                    warn!(incarnation = incarnation.0, "fleet: others held this gateway for gone");
+                }
+                Event::StoodStill(span) => warn!(seconds = span.secs(), "fleet: this loop stood still"),
+                Event::Doubled { .. } => {
+                    warn!(name = %self.gateway.own().name, "fleet: another process has this name; this one stays out for now");
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.token.take().into_iter().for_each(|token| self.handle.remove(token));
+    }
+}
--- a/crates/gateway/src/keyfiles.rs
+++ b/crates/gateway/src/keyfiles.rs
@@ -46,7 +46,7 @@
     Ok(Zeroizing::new(text))
 }
 
-fn unhex<const N: usize>(path: &Path) -> Result<Zeroizing<[u8; N]>, FilesError> {
+pub fn unhex<const N: usize>(path: &Path) -> Result<Zeroizing<[u8; N]>, FilesError> {
     let text = text(path)?;
     let digits = text.trim().as_bytes();
     let digit = |byte: u8| (byte as char).to_digit(16).map(|digit| digit as u8);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod counters;
 pub mod credentials;
 pub mod engines;
+pub mod fleet;
 pub mod keyfiles;
 pub mod keywatch;
 pub mod lifecycle;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Operated};
 use crate::engines::Engines;
+use crate::fleet::{Fleet, FleetError};
 use crate::keywatch::{self, Known, WatchError};
 use crate::service::Service;
 use crate::socket::{Peer, Ready};
@@ -70,6 +71,8 @@
     Known(#[from] WatchError),
     #[error(transparent)]
     Keys(#[from] IndexError),
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
 }
 
 pub struct Lifecycle {
@@ -144,6 +147,9 @@
             };
             handle.insert_source(keywatch::watch(callers.clone()), note).map_err(|e| e.error)?;
         }
+        if let Some((name, terms)) = &operated.fleet {
+            service.join(Fleet::start(now, &handle, terms, name, config.seed)?);
+        }
         info!(name = config.name, "starting");
         Ok(Lifecycle {
             phase: Phase::Starting,
@@ -240,6 +246,7 @@
             Peer::Client(id) => service.clients.ready(now, id, &mut service.counters),
             Peer::Engine(at) => service.engines.ready(now, at, &mut service.counters),
             Peer::Board(at) => service.board.ready(now, at, &mut service.counters),
+            Peer::Fleet => service.fleet().into_iter().for_each(Fleet::news),
         }
     }
 
@@ -283,6 +290,7 @@
                 let until = now + Span::from_secs(STILL_COMING_S);
                 self.phase = Phase::Draining { until, end: now + end };
                 self.service.answer_by(now + by);
+                self.service.fleet().into_iter().for_each(|fleet| fleet.leave(now));
             }
         }
     }
@@ -341,17 +349,38 @@
                 self.service.counters.reloads_failed += 1;
                 warn!(%error, "the operator's file cannot be used; the old one stands");
             }
-            Ok(operated) => match (&self.operated.queues, &operated.queues) {
-                (Some(old), Some(new)) if old != new => {
-                    info!(members = new.members.len(), desks = new.desks(), "queues: new terms");
-                    self.service.change(now, new);
-                    self.operated = operated;
-                }
-                (Some(_), None) | (None, Some(_)) => {
-                    warn!("queues are switched on and off by a restart only; they stay as they were");
+            Ok(operated) => {
+                self.reload_fleet(&operated);
+                self.reload_queues(now, operated);
+            }
+        }
+    }
+
+    fn reload_fleet(&mut self, operated: &Operated) {
+        match (self.service.fleet(), &operated.fleet) {
+            (Some(fleet), Some((_, terms))) => match fleet.change(terms) {
+                Ok(kept) => info!(?kept, seeds = terms.seeds.len(), "fleet: new terms"),
+                Err(error) => {
+                    self.service.counters.reloads_failed += 1;
+                    warn!(%error, "the fleet's keys cannot be used; the old ones stand");
                 }
-                _ => self.operated = operated,
             },
+            (None, None) => {}
+            _ => warn!("the fleet is joined and left by a restart only; it stays as it was"),
+        }
+    }
+
+    fn reload_queues(&mut self, now: Moment, operated: Operated) {
+        match (&self.operated.queues, &operated.queues) {
+            (Some(old), Some(new)) if old != new => {
+                info!(members = new.members.len(), desks = new.desks(), "queues: new terms");
+                self.service.change(now, new);
+                self.operated = operated;
+            }
+            (Some(_), None) | (None, Some(_)) => {
+                warn!("queues are switched on and off by a restart only; they stay as they were");
+            }
+            _ => self.operated = operated,
         }
     }
 
@@ -378,9 +407,10 @@
     /// Whatever the log's level: it was asked for.
     fn print(&mut self) {
         self.service.count();
+        let fleet = self.service.fleet().map_or_else(String::new, |fleet| fleet.counters());
         let service = &self.service;
         eprintln!(
-            "counters: {}open={} waiting={} sessions={} engines_open={} engines_benched={} polls_open={}",
+            "counters: {}{fleet}open={} waiting={} sessions={} engines_open={} engines_benched={} polls_open={}",
             service.counters,
             service.counters.open(),
             service.waiting(),
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -23,6 +23,7 @@
 use crate::counters::Counters;
 use crate::engines::lines::Rid;
 use crate::engines::{Engines, Outgoing, Report};
+use crate::fleet::Fleet;
 use crate::status;
 
 /// Network fact: an answer must be with the client before its budget ends, and the budget runs from when the
@@ -66,6 +67,8 @@
     hall: Hall,
     /// Where there are lines: whose desk a statement waits at.
     directory: Option<Directory>,
+    /// Where gateways know each other.
+    fleet: Option<Fleet>,
     /// Where callers are to be known.
     guard: Option<Guard>,
     /// Statements open by caller; leaves with the last of them.
@@ -133,6 +136,7 @@
             counters: Counters::default(),
             hall: Hall::new(Dispatch::new(settings.policy(seed)?), lines),
             directory,
+            fleet: None,
             guard: None,
             open: BTreeMap::new(),
             names: Names::new(settings.location_names(), settings.machine_names()),
@@ -208,7 +212,8 @@
     pub fn next_due(&self, now: Moment) -> Moment {
         let dues = [self.engines.next_due(now), self.clients.next_due(now), self.board.next_due()];
         let end = self.ends.first().map(|end| end.0);
-        dues.into_iter().chain([end]).flatten().fold(self.wake, Moment::min)
+        let fleet = self.fleet.as_ref().map(|fleet| fleet.next_due(now));
+        dues.into_iter().chain([end, fleet]).flatten().fold(self.wake, Moment::min)
     }
 
     /// Works off what all peers brought, then asks once for all that waits.
@@ -228,6 +233,11 @@
             }
             news.into_iter().for_each(|news| self.heard(now, news));
         }
+        if let Some(fleet) = &mut self.fleet {
+            fleet.turn(now);
+            let doubts = fleet.engines(now, self.hall.health(), &self.names);
+            self.hall.told_doubts(now, &doubts);
+        }
         let tick = self.hall.tick(now);
         tick.due.into_iter().for_each(|(id, pick)| self.picked(now, id, pick));
         // What could not even be sent is back in line by now, and what stood behind an answer was read.
@@ -323,6 +333,7 @@
                 self.asked(now, session, &text, IpAddr::from([0; 4]));
             }
             clients::News::Queue { session, id, .. } => self.tell_queue(now, session, id),
+            clients::News::Fleet { session, text } => self.tell_fleet(now, session, &text),
             clients::News::Left(id) => self.left(now, id),
             clients::News::Token { session, token, login } => self.judge(now, session, &token, login),
             clients::News::Kill { by, session, whole } => {
@@ -347,6 +358,24 @@
         self.forget(id);
     }
 
+    /// Other gateways are to be known from now on.
+    pub fn join(&mut self, fleet: Fleet) {
+        self.fleet = Some(fleet);
+    }
+
+    pub fn fleet(&mut self) -> Option<&mut Fleet> {
+        self.fleet.as_mut()
+    }
+
+    fn tell_fleet(&mut self, now: Moment, session: u32, text: &Bytes) {
+        let Some(fleet) = &mut self.fleet else {
+            return self.asked(now, session, text, IpAddr::from([0; 4]));
+        };
+        let rows = status::fleet(now, fleet.gateway());
+        let table = |answer: Answer| answer.table(status::FLEET, &rows);
+        self.clients.answer(now, session, &mut self.counters, table);
+    }
+
     /// Callers are to be known from now on, by this.
     pub fn guard(&mut self, guard: Guard) {
         self.guard = Some(guard);
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -28,6 +28,8 @@
     Client(u32),
     Engine(u64),
     Board(u64),
+    /// Datagrams of other gateways.
+    Fleet,
 }
 
 /// What one sleep of the loop brought: sources only note it, it is worked off in turn afterwards.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,5 +1,7 @@
 //! What waits, as rows: the same for the status query and for the command line that asks it.
 
+use ::fleet::{Gateway, Record};
+use admission::interface::Moment;
 use queues::{DeskStatus, Estimate, StatementStatus};
 
 /// Columns of `SHOW QUEUE`.
@@ -53,3 +55,48 @@
     let [waited, wait, p90] = [waited, left.wait.secs(), left.p90.secs()].map(ms);
     [rid.to_owned(), member, desk, of.ahead.to_string(), waited, wait, p90]
 }
+
+/// Columns of `SHOW FLEET`: this gateway first, with its standing and the digest of its view, then those it holds.
+pub const FLEET: [&str; 12] = [
+    "name",
+    "state",
+    "incarnation",
+    "known",
+    "standing",
+    "digest",
+    "size",
+    "address",
+    "zone",
+    "region",
+    "since_s",
+    "life",
+];
+
+pub fn fleet(now: Moment, of: &mut Gateway) -> Vec<[String; FLEET.len()]> {
+    let view = of.view();
+    let row =
+        |record: &Record, known: bool, since: Moment, standing: String, digest: String, size: String| {
+            let place =
+                |name: &Option<::fleet::Name>| name.as_ref().map_or("-".to_owned(), ToString::to_string);
+            [
+                record.name.to_string(),
+                record.state.to_string(),
+                record.incarnation.0.to_string(),
+                if known { "yes" } else { "no" }.to_owned(),
+                standing,
+                digest,
+                size,
+                record.address.to_string(),
+                place(&record.place.zone),
+                place(&record.place.region),
+                format!("{:.1}", (now - since).secs()),
+                format!("{:016x}", record.life.0),
+            ]
+        };
+    let (digest, size) = (format!("{:016x}", view.digest), of.size().to_string());
+    let own = row(of.own(), true, of.standing_since(), of.standing().to_string(), digest, size);
+    let others = of
+        .rows()
+        .map(|held| row(&held.record, held.known, held.since, String::new(), String::new(), String::new()));
+    [own].into_iter().chain(others).collect()
+}
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -53,7 +53,16 @@
     /// Of the denied, those denied within 50 ms of their taking.
     pub denied_at_once: u64,
     pub scrapped: u64,
+    /// Lost with their gateway, which was killed.
+    pub died: u64,
     pub relays: u64,
+    /// Relays that brought no answer in their time.
+    pub timed_out: u64,
+    /// Connections opened to engines, and the most that stood at one engine at a time.
+    pub handshakes: u64,
+    pub most_connections: u64,
+    /// Changes of the list told, over all gateways.
+    pub lists_told: u64,
     pub service: f64,
     /// Part of the estimates told at entry that came within a fifth, or 20 ms, of the wait.
     pub estimate_within_20: f64,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod figures;
 pub mod front;
+pub mod mesh;
 pub mod play;
 pub mod plot;
 pub mod rules;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,8 +1,9 @@
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
 use lab::front::Policy;
+use lab::mesh;
 use lab::play::{Outcome, Play};
 use lab::scenario::Scenario;
 
@@ -43,6 +44,16 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Gateways that know each other, beside two plainer ways: joining, deaths, loss, a partition.
+    Fleet {
+        #[arg(long, default_value = "20,100,300")]
+        gateways: String,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// fleet, heartbeats or hasty; all of them without it.
+        #[arg(long)]
+        way: Option<String>,
+    },
     /// Plays it with two policies, over some seeds.
     Compare {
         file: PathBuf,
@@ -130,17 +141,55 @@
         }
         Command::Sweep { file, over, seed } => {
             let (path, values) = over.split_once('=').ok_or("--over wants FIELD=A,B,C")?;
-            let text = read(&file)?;
+            let base = Scenario::value(&file)?;
             let mut all = true;
             println!("{path:<20} {HEAD}");
             for value in values.split(',') {
-                let scenario = Scenario::with(&text, path, value.trim().parse()?)?;
+                let scenario = Scenario::with(base.clone(), path, value.trim().parse()?)?;
                 let outcome = play(&scenario, Policy::Queues, seed)?;
                 println!("{value:<20} {}", line(&outcome));
                 all &= kept(&outcome);
             }
             Ok(all)
         }
+        Command::Fleet { gateways, seed, way } => {
+            println!(
+                "way         gateways joined s  detect s median 99th  settled s  false deaths an hour  healed s  datagrams, bytes a second  most"
+            );
+            for count in gateways.split(',') {
+                let count: usize = count.trim().parse()?;
+                let terms = fleet::Terms::default;
+                let wanted = |name: &str| way.as_deref().is_none_or(|way| way == name);
+                let mut all = Vec::new();
+                if wanted("fleet") {
+                    all.push(mesh::measure("fleet", mesh::gateways(count, seed, terms())));
+                }
+                if wanted("heartbeats") {
+                    all.push(mesh::measure("heartbeats", mesh::heartbeats(count, seed, terms())));
+                }
+                if wanted("hasty") {
+                    all.push(mesh::measure("hasty", mesh::hasty(count, seed, terms())));
+                }
+                let secs = |of: Option<f64>| of.map_or("never".to_owned(), |secs| format!("{secs:.1}"));
+                for f in all {
+                    println!(
+                        "{:<11} {:>8} {:>8} {:>16.1} {:>4.1} {:>10} {:>21.0} {:>9} {:>12.1} {:>13.0} {:>5.1}",
+                        f.way,
+                        f.gateways,
+                        secs(f.joined_s),
+                        f.detect_median_s,
+                        f.detect_99th_s,
+                        secs(f.settle_after_deaths_s),
+                        f.false_deaths_an_hour,
+                        secs(f.settle_after_healing_s),
+                        f.datagrams_s,
+                        f.bytes_s,
+                        f.largest_share
+                    );
+                }
+            }
+            Ok(true)
+        }
         Command::Compare { file, first, second, seeds } => {
             let scenario = Scenario::read(&file)?;
             let mut all = true;
@@ -157,10 +206,6 @@
     }
 }
 
-fn read(file: &Path) -> Result<String, String> {
-    std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))
-}
-
 fn main() -> ExitCode {
     match run() {
         Ok(true) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/lab/src/mesh.rs
@@ -0,0 +1,656 @@
+//! Hundreds of gateways that know each other, in simulated time: the code of `crates/fleet` itself, and two plainer ways
+//! of our own to compare with, between the same faults of network and processes, drawn from the same seed.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use admission::interface::{Moment, Span};
+use fleet::{Datagram, Event as Told, Gateway, Name, Place, Ring, Standing, State, Terms};
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+pub const KEY: [u8; 32] = [7; 32];
+
+pub fn name(at: usize) -> Name {
+    Name::new(&format!("g{at:04}")).expect("a name")
+}
+
+pub fn address(at: usize) -> SocketAddr {
+    let [high, low] = (at as u16).to_be_bytes();
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, high, low)), 7946)
+}
+
+pub fn number(address: SocketAddr) -> usize {
+    let IpAddr::V4(ip) = address.ip() else { return usize::MAX };
+    let [_, _, high, low] = ip.octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+/// One gateway's way of knowing the others.
+pub trait Peer {
+    fn receive(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]);
+    fn turn(&mut self, now: Moment);
+    fn due(&self) -> Moment;
+    fn take_out(&mut self) -> Vec<Datagram>;
+    /// Gateways that it holds to be there, without itself.
+    fn there(&self) -> BTreeSet<usize>;
+    /// Whom it took for dead since the last ask.
+    fn died(&mut self) -> Vec<usize>;
+    fn leave(&mut self, _now: Moment) {}
+}
+
+impl Peer for Gateway {
+    fn receive(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
+        let _ = Gateway::receive(self, now, from, bytes);
+    }
+
+    fn turn(&mut self, now: Moment) {
+        Gateway::turn(self, now);
+    }
+
+    fn due(&self) -> Moment {
+        Gateway::due(self)
+    }
+
+    fn take_out(&mut self) -> Vec<Datagram> {
+        Gateway::take_out(self)
+    }
+
+    fn there(&self) -> BTreeSet<usize> {
+        let there = self.rows().filter(|row| row.known && row.record.state.counts());
+        there.map(|row| number(row.record.address)).collect()
+    }
+
+    fn died(&mut self) -> Vec<usize> {
+        let dead = |event: Told| match event {
+            Told::Changed { name, state: State::Dead, .. } => name.as_str()[1..].parse().ok(),
+            _ => None,
+        };
+        self.take_events().into_iter().filter_map(dead).collect()
+    }
+
+    fn leave(&mut self, now: Moment) {
+        Gateway::leave(self, now);
+    }
+}
+
+/// All tell all, every period; whoever was not heard for some is gone.
+pub struct Heartbeats {
+    at: usize,
+    count: usize,
+    period: f64,
+    missed: f64,
+    next: Moment,
+    heard: BTreeMap<usize, Moment>,
+    out: Vec<Datagram>,
+    died: Vec<usize>,
+}
+
+impl Heartbeats {
+    pub fn new(now: Moment, at: usize, count: usize, terms: &Terms, missed: f64) -> Self {
+        let period = terms.period.secs();
+        let next = now + Span::from_secs(period * (at as f64 * 0.618).fract());
+        Heartbeats {
+            at,
+            count,
+            period,
+            missed,
+            next,
+            heard: BTreeMap::new(),
+            out: Vec::new(),
+            died: Vec::new(),
+        }
+    }
+}
+
+impl Peer for Heartbeats {
+    fn receive(&mut self, now: Moment, from: SocketAddr, _: &[u8]) {
+        self.heard.insert(number(from), now);
+    }
+
+    fn turn(&mut self, now: Moment) {
+        self.next = now + Span::from_secs(self.period);
+        for to in (0..self.count).filter(|to| *to != self.at) {
+            // As long as a letter of ours that carries nothing.
+            self.out.push(Datagram { to: address(to), bytes: vec![0; 70] });
+        }
+        let lost = Span::from_secs(self.period * self.missed);
+        let gone = self.heard.extract_if(.., |_, at| now - *at > lost);
+        self.died.extend(gone.map(|(peer, _)| peer));
+    }
+
+    fn due(&self) -> Moment {
+        self.next
+    }
+
+    fn take_out(&mut self) -> Vec<Datagram> {
+        std::mem::take(&mut self.out)
+    }
+
+    fn there(&self) -> BTreeSet<usize> {
+        self.heard.keys().copied().collect()
+    }
+
+    fn died(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.died)
+    }
+}
+
+/// Each probes one by chance every period and takes it for dead when no answer came; word of it goes along. No
+/// suspicion, no others asked.
+pub struct Hasty {
+    at: usize,
+    period: f64,
+    answer: f64,
+    next: Moment,
+    asked: Option<(usize, Moment)>,
+    /// By gateway: the number of its last word, and whether it is there.
+    held: BTreeMap<usize, (u32, bool)>,
+    own: u32,
+    seeds: Vec<usize>,
+    out: Vec<Datagram>,
+    died: Vec<usize>,
+    rng: Pcg64Mcg,
+}
+
+impl Hasty {
+    pub fn new(now: Moment, at: usize, terms: &Terms, seeds: Vec<usize>, seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let period = terms.period.secs();
+        let next = now + Span::from_secs(period * rng.random::<f64>());
+        let (answer, held) = (terms.answer.secs(), BTreeMap::new());
+        Hasty {
+            at,
+            period,
+            answer,
+            next,
+            asked: None,
+            held,
+            own: 1,
+            seeds,
+            out: Vec::new(),
+            died: Vec::new(),
+            rng,
+        }
+    }
+
+    /// Kind, own number, then as many others as fit: gateway, number, there.
+    fn send(&mut self, to: usize, kind: u8) {
+        let mut bytes = vec![kind];
+        bytes.extend(self.own.to_le_bytes());
+        let mut others: Vec<_> = self.held.iter().map(|(at, held)| (*at, *held)).collect();
+        others.shuffle(&mut self.rng);
+        for (at, (number, there)) in others.into_iter().take(40) {
+            bytes.extend((at as u16).to_le_bytes());
+            bytes.extend(number.to_le_bytes());
+            bytes.push(u8::from(there));
+        }
+        // Beside this, a letter's head and code.
+        bytes.resize(bytes.len() + 60, 0);
+        self.out.push(Datagram { to: address(to), bytes });
+    }
+}
+
+impl Peer for Hasty {
+    fn receive(&mut self, _: Moment, from: SocketAddr, bytes: &[u8]) {
+        let from = number(from);
+        let word = u32::from_le_bytes(std::array::from_fn(|at| bytes[1 + at]));
+        let held = self.held.entry(from).or_insert((word, true));
+        *held = (held.0.max(word), true);
+        if bytes[0] == 0 {
+            self.send(from, 1);
+        } else if self.asked.is_some_and(|asked| asked.0 == from) {
+            self.asked = None;
+        }
+        for item in bytes[5..bytes.len() - 60].chunks_exact(7) {
+            let at = usize::from(u16::from_le_bytes([item[0], item[1]]));
+            let number = u32::from_le_bytes([item[2], item[3], item[4], item[5]]);
+            let there = item[6] == 1;
+            if at == self.at {
+                if !there && number >= self.own {
+                    self.own = number + 1;
+                }
+                continue;
+            }
+            let held = self.held.entry(at).or_insert((number, there));
+            if (number, !there) > (held.0, !held.1) {
+                if held.1 && !there {
+                    self.died.push(at);
+                }
+                *held = (number, there);
+            }
+        }
+    }
+
+    fn turn(&mut self, now: Moment) {
+        if let Some((at, since)) = self.asked
+            && (now - since).secs() >= self.answer
+        {
+            self.asked = None;
+            if let Some(held) = self.held.get_mut(&at).filter(|held| held.1) {
+                held.1 = false;
+                self.died.push(at);
+            }
+        }
+        if now < self.next {
+            return;
+        }
+        self.next = now + Span::from_secs(self.period);
+        let mut all: Vec<usize> = self.held.iter().filter(|(_, held)| held.1).map(|(at, _)| *at).collect();
+        if all.is_empty() {
+            all.extend(self.seeds.iter().filter(|seed| **seed != self.at));
+        }
+        if all.is_empty() {
+            return;
+        }
+        let to = all[self.rng.random_range(0..all.len())];
+        self.asked = Some((to, now));
+        self.send(to, 0);
+    }
+
+    fn due(&self) -> Moment {
+        let answer = self.asked.map(|(_, since)| since + Span::from_secs(self.answer));
+        answer.into_iter().fold(self.next, Moment::min)
+    }
+
+    fn take_out(&mut self) -> Vec<Datagram> {
+        std::mem::take(&mut self.out)
+    }
+
+    fn there(&self) -> BTreeSet<usize> {
+        self.held.iter().filter(|(_, held)| held.1).map(|(at, _)| *at).collect()
+    }
+
+    fn died(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.died)
+    }
+}
+
+/// What the network does to each datagram.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    pub lost: f64,
+    pub repeated: f64,
+    pub delay_s: (f64, f64),
+    pub repeat_after_s: f64,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Faults { lost: 0.0, repeated: 0.0, delay_s: (0.0005, 0.002), repeat_after_s: 1.0 }
+    }
+}
+
+struct Slot<P> {
+    /// None: killed, or never started.
+    peer: Option<P>,
+    stopped: bool,
+    /// Its loop is late by so much each turn.
+    slow: f64,
+    turn: u64,
+    started: f64,
+    ended: Option<f64>,
+}
+
+enum Happens {
+    Arrives { to: usize, from: usize, bytes: Vec<u8> },
+    Due { at: usize, turn: u64 },
+}
+
+/// A death that one took another for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Death {
+    pub at: f64,
+    pub by: usize,
+    pub of: usize,
+    /// It lived then, and could be reached by whoever took it for dead.
+    pub false_one: bool,
+}
+
+type Hearers = Box<dyn FnMut(usize, usize, &mut Vec<u8>)>;
+
+pub struct Mesh<P> {
+    pub now: f64,
+    slots: Vec<Slot<P>>,
+    make: Box<dyn FnMut(usize, Moment, u32) -> P>,
+    queue: BinaryHeap<Reverse<(i64, u64)>>,
+    events: BTreeMap<u64, Happens>,
+    next: u64,
+    pub faults: Faults,
+    /// By sender and receiver.
+    cut: Vec<Vec<bool>>,
+    rng: Pcg64Mcg,
+    lives: Vec<u32>,
+    pub deaths: Vec<Death>,
+    pub sent: Vec<(u64, u64)>,
+    /// Sees every datagram before it goes: for a liar.
+    pub liar: Option<Hearers>,
+}
+
+impl<P: Peer> Mesh<P> {
+    pub fn new(count: usize, seed: u64, make: impl FnMut(usize, Moment, u32) -> P + 'static) -> Self {
+        let slot = |_| Slot { peer: None, stopped: false, slow: 0.0, turn: 0, started: 0.0, ended: None };
+        Mesh {
+            now: 0.0,
+            slots: (0..count).map(slot).collect(),
+            make: Box::new(make),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next: 0,
+            faults: Faults::default(),
+            cut: vec![vec![false; count]; count],
+            rng: Pcg64Mcg::seed_from_u64(seed ^ 0x6d65_7368),
+            lives: vec![0; count],
+            deaths: Vec::new(),
+            sent: vec![(0, 0); count],
+            liar: None,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    fn moment(&self) -> Moment {
+        Moment::from_secs(self.now)
+    }
+
+    fn put(&mut self, at: f64, what: Happens) {
+        self.next += 1;
+        self.queue.push(Reverse(((at.max(self.now) * 1e6).round() as i64, self.next)));
+        self.events.insert(self.next, what);
+    }
+
+    pub fn start(&mut self, at: usize) {
+        let life = self.lives[at];
+        self.lives[at] += 1;
+        let now = self.moment();
+        let peer = (self.make)(at, now, life);
+        let slot = &mut self.slots[at];
+        (slot.peer, slot.stopped, slot.started, slot.ended) = (Some(peer), false, self.now, None);
+        self.arm(at);
+    }
+
+    pub fn start_all(&mut self) {
+        (0..self.len()).for_each(|at| self.start(at));
+    }
+
+    pub fn kill(&mut self, at: usize) {
+        let now = self.now;
+        let slot = &mut self.slots[at];
+        (slot.peer, slot.ended) = (None, Some(now));
+    }
+
+    pub fn leave(&mut self, at: usize) {
+        let now = self.moment();
+        if let Some(peer) = &mut self.slots[at].peer {
+            peer.leave(now);
+        }
+        self.pump(at);
+        self.kill(at);
+    }
+
+    pub fn stop(&mut self, at: usize) {
+        self.slots[at].stopped = true;
+    }
+
+    pub fn wake(&mut self, at: usize) {
+        self.slots[at].stopped = false;
+        self.arm(at);
+    }
+
+    pub fn slow(&mut self, at: usize, by: f64) {
+        self.slots[at].slow = by;
+    }
+
+    pub fn peer(&self, at: usize) -> Option<&P> {
+        self.slots[at].peer.as_ref()
+    }
+
+    pub fn peer_mut(&mut self, at: usize) -> Option<&mut P> {
+        self.slots[at].peer.as_mut()
+    }
+
+    pub fn lives(&self) -> Vec<usize> {
+        (0..self.len()).filter(|at| self.slots[*at].peer.is_some()).collect()
+    }
+
+    pub fn cut(&mut self, cut: impl Fn(usize, usize) -> bool) {
+        for (a, row) in self.cut.iter_mut().enumerate() {
+            row.iter_mut().enumerate().for_each(|(b, is)| *is = cut(a, b));
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cut(|_, _| false);
+    }
+
+    /// Sends bytes of anybody's making from a gateway's address.
+    pub fn inject(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        self.put(self.now, Happens::Arrives { to, from, bytes });
+    }
+
+    fn arm(&mut self, at: usize) {
+        let slot = &mut self.slots[at];
+        let Some(peer) = &slot.peer else { return };
+        if slot.stopped {
+            return;
+        }
+        slot.turn += 1;
+        let due = (peer.due() - Moment::from_secs(0.0)).secs() + slot.slow;
+        let turn = slot.turn;
+        self.put(due, Happens::Due { at, turn });
+    }
+
+    fn pump(&mut self, from: usize) {
+        let Some(peer) = &mut self.slots[from].peer else { return };
+        let (out, died) = (peer.take_out(), peer.died());
+        for of in died {
+            let lives = self
+                .slots
+                .get(of)
+                .is_some_and(|slot| slot.peer.is_some() && !slot.stopped && slot.slow < 0.2);
+            let reached = of < self.len() && !self.cut[from][of] && !self.cut[of][from];
+            self.deaths.push(Death { at: self.now, by: from, of, false_one: lives && reached });
+        }
+        for Datagram { to, mut bytes } in out {
+            let to = number(to);
+            self.sent[from].0 += 1;
+            self.sent[from].1 += bytes.len() as u64;
+            if let Some(liar) = &mut self.liar {
+                liar(from, to, &mut bytes);
+            }
+            let [lost, repeated, delay]: [f64; 3] = std::array::from_fn(|_| self.rng.random());
+            if to >= self.len() || self.cut[from][to] || lost < self.faults.lost || bytes.is_empty() {
+                continue;
+            }
+            let (least, most) = self.faults.delay_s;
+            let arrives = self.now + least + (most - least) * delay;
+            if repeated < self.faults.repeated {
+                let bytes = bytes.clone();
+                self.put(arrives + self.faults.repeat_after_s, Happens::Arrives { to, from, bytes });
+            }
+            self.put(arrives, Happens::Arrives { to, from, bytes });
+        }
+    }
+
+    /// Plays until then.
+    pub fn run(&mut self, until: f64) {
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
+            if at as f64 / 1e6 > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = at as f64 / 1e6;
+            let Some(event) = self.events.remove(&number) else { continue };
+            let now = self.moment();
+            match event {
+                Happens::Arrives { to, from, bytes } => {
+                    let slot = &mut self.slots[to];
+                    // A process that stands still has a socket's buffer full for it; that is lost here, which is worse.
+                    if slot.stopped {
+                        continue;
+                    }
+                    let Some(peer) = &mut slot.peer else { continue };
+                    peer.receive(now, address(from), &bytes);
+                    self.pump(to);
+                    self.arm(to);
+                }
+                Happens::Due { at, turn } => {
+                    let slot = &mut self.slots[at];
+                    if slot.turn != turn || slot.stopped {
+                        continue;
+                    }
+                    if let Some(peer) = &mut slot.peer {
+                        peer.turn(now);
+                    }
+                    self.pump(at);
+                    self.arm(at);
+                }
+            }
+        }
+        self.now = until;
+    }
+
+    /// Plays on until all that live hold just each other, looking every tenth of a second.
+    pub fn settle(&mut self, within: f64) -> Option<f64> {
+        let began = self.now;
+        while self.now < began + within {
+            if self.agreed() {
+                return Some(self.now - began);
+            }
+            self.run(self.now + 0.1);
+        }
+        None
+    }
+
+    pub fn agreed(&self) -> bool {
+        let lives = self.lives();
+        let all: BTreeSet<usize> = lives.iter().copied().collect();
+        lives.iter().all(|at| {
+            let mut there = self.slots[*at].peer.as_ref().map(Peer::there).unwrap_or_default();
+            there.insert(*at);
+            there == all
+        })
+    }
+
+    pub fn false_deaths(&self) -> usize {
+        self.deaths.iter().filter(|death| death.false_one).count()
+    }
+
+    /// Times from each killing to when each survivor took it for dead, sorted.
+    pub fn detected(&self) -> Vec<f64> {
+        let since = |death: &Death| Some(death.at - self.slots[death.of].ended?);
+        let mut all: Vec<f64> = self.deaths.iter().filter_map(since).filter(|span| *span >= 0.0).collect();
+        all.sort_by(f64::total_cmp);
+        all
+    }
+}
+
+/// Gateways of the real code, the first three their seeds.
+pub fn gateways(count: usize, seed: u64, terms: Terms) -> Mesh<Gateway> {
+    let ring = Ring::new(&KEY, &[]).expect("one key");
+    let fleet = Name::new("lab").expect("a name");
+    Mesh::new(count, seed, move |at, now, life| {
+        let seeds = (0..3.min(count)).map(address).collect();
+        let seed = seed.wrapping_mul(1_000_003).wrapping_add(at as u64 * 64 + u64::from(life));
+        let zone = Some(Name::new(&format!("zone-{}", at % 3)).expect("a name"));
+        let place = Place { zone, region: None };
+        Gateway::new(
+            now,
+            fleet.clone(),
+            name(at),
+            address(at),
+            place,
+            seeds,
+            ring.clone(),
+            terms.clone(),
+            seed,
+        )
+    })
+}
+
+pub fn heartbeats(count: usize, seed: u64, terms: Terms) -> Mesh<Heartbeats> {
+    Mesh::new(count, seed, move |at, now, _| Heartbeats::new(now, at, count, &terms, 5.0))
+}
+
+pub fn hasty(count: usize, seed: u64, terms: Terms) -> Mesh<Hasty> {
+    Mesh::new(count, seed, move |at, now, life| {
+        Hasty::new(now, at, &terms, vec![0, 1, 2], seed.wrapping_add(at as u64 * 64 + u64::from(life)))
+    })
+}
+
+/// All that live say that they are together.
+pub fn together(mesh: &Mesh<Gateway>) -> bool {
+    mesh.lives().iter().all(|at| is_together(mesh, *at))
+}
+
+pub fn is_together(mesh: &Mesh<Gateway>, at: usize) -> bool {
+    mesh.peer(at).is_some_and(|peer| *peer.standing() == Standing::Together)
+}
+
+/// One way's figures on one trouble.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    pub way: &'static str,
+    pub gateways: usize,
+    pub joined_s: Option<f64>,
+    pub detect_median_s: f64,
+    pub detect_99th_s: f64,
+    pub settle_after_deaths_s: Option<f64>,
+    pub false_deaths_an_hour: f64,
+    pub settle_after_healing_s: Option<f64>,
+    pub datagrams_s: f64,
+    pub bytes_s: f64,
+    pub largest_share: f64,
+}
+
+/// Joins; a tenth killed; a minute of a third of datagrams lost; a partition of 20 s in a third and two; healed.
+pub fn measure<P: Peer>(way: &'static str, mut mesh: Mesh<P>) -> Figures {
+    let count = mesh.len();
+    mesh.start_all();
+    let joined_s = mesh.settle(120.0);
+    let (before, from) = (mesh.sent.clone(), mesh.now);
+    mesh.run(from + 30.0);
+    let spent = mesh.sent.iter().zip(&before).map(|(after, before)| (after.0 - before.0, after.1 - before.1));
+    let spent: Vec<(u64, u64)> = spent.collect();
+    let (datagrams, bytes) = spent.iter().fold((0, 0), |sum, of| (sum.0 + of.0, sum.1 + of.1));
+    let most = spent.iter().map(|of| of.0).max().unwrap_or(0);
+    let per = count as f64 * 30.0;
+    for at in 0..count.div_ceil(10) {
+        mesh.kill(at * 10 + 5 % count.min(10));
+    }
+    let settle_after_deaths_s = mesh.settle(120.0);
+    let detected = mesh.detected();
+    let at = |part: f64| detected.get((detected.len() as f64 * part) as usize).copied().unwrap_or(f64::NAN);
+    let (detect_median_s, detect_99th_s) = (at(0.5), at(0.99));
+    let (quiet, begins) = (mesh.false_deaths(), mesh.now);
+    mesh.faults.lost = 1.0 / 3.0;
+    mesh.run(begins + 60.0);
+    mesh.faults.lost = 0.0;
+    let false_deaths = (mesh.false_deaths() - quiet) as f64 * 60.0;
+    mesh.settle(120.0);
+    mesh.cut(|a, b| (a % 3 == 0) != (b % 3 == 0));
+    mesh.run(mesh.now + 20.0);
+    mesh.heal();
+    let settle_after_healing_s = mesh.settle(300.0);
+    Figures {
+        way,
+        gateways: count,
+        joined_s,
+        detect_median_s,
+        detect_99th_s,
+        settle_after_deaths_s,
+        false_deaths_an_hour: false_deaths,
+        settle_after_healing_s,
+        datagrams_s: datagrams as f64 / per,
+        bytes_s: bytes as f64 / per,
+        largest_share: most as f64 / 30.0,
+    }
+}
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -15,6 +15,7 @@
 use crate::engine::{Engine, Run, State};
 use crate::figures::{self, Figures, Told, ratio, well};
 use crate::front::{Front, Policy};
+use crate::mesh::{self, Mesh};
 use crate::rules::{self, Rules, Seen};
 use crate::scenario::{Kind, Scenario, Trouble};
 
@@ -31,6 +32,12 @@
 const RATION: (f64, f64, f64) = (20.0, 0.25, 10.0);
 /// Fairness is looked at over spans of this length.
 const SPAN_S: f64 = 5.0;
+/// Gateways know each other by the time a day begins; how often they compare what they see of engines.
+const MESH_AHEAD_S: f64 = 40.0;
+const MESH_LOOK_S: f64 = 0.1;
+/// A gateway that ends has so long for what it holds; a client of one that was killed asks again after this.
+const END_S: f64 = 2.0;
+const NOTICED_S: f64 = 0.2;
 /// "At once", of a denial.
 const AT_ONCE_S: f64 = 0.05;
 
@@ -66,6 +73,8 @@
     tick: f64,
     turn: u64,
     plain: BTreeMap<(u32, usize), Plain>,
+    /// Its own benches that others were told of, and until when.
+    told: BTreeMap<EngineId, Moment>,
 }
 
 /// Estimators to compare with, by desk and product.
@@ -89,6 +98,7 @@
     News { gateway: usize, engine: usize, stage: Stage, started: Option<f64> },
     Begins(usize),
     Ends(usize),
+    Mesh,
 }
 
 pub struct Play<'a> {
@@ -102,6 +112,17 @@
     rng: Pcg64Mcg,
     gateways: Vec<Gateway>,
     engines: Vec<Engine>,
+    /// As the list has them now.
+    listed: Vec<(Stage, Option<f64>)>,
+    /// Free connections by gateway and engine, each since when; what stands at each engine.
+    free_links: BTreeMap<(usize, usize), Vec<f64>>,
+    standing: Vec<u64>,
+    /// Part of the answers that each engine loses.
+    loses: Vec<f64>,
+    mesh: Option<Mesh<fleet::Gateway>>,
+    policy: Policy,
+    own: Option<queues::Terms>,
+    seed: u64,
     troubles: Vec<(Kind, Trouble)>,
     wishes: Vec<Wish>,
     statements: Vec<Statement>,
@@ -157,7 +178,7 @@
         memory_mb: vec![engines.memory_mb],
         note_pace: Some(Span::from_secs(engines.note_ms / 1e3)),
         ranks_heeded: false,
-        idle: None,
+        idle: engines.idle_s.map(Span::from_secs),
     };
     let cold = ColdStart {
         share: engines.cold_share,
@@ -184,6 +205,11 @@
     Module::new(seed, products, tenancy, fleet, Some(cold), relaying, listing)
 }
 
+fn front(scenario: &Scenario, policy: Policy, own: Option<&queues::Terms>, seed: u64, at: u64) -> Front {
+    let seed = seed.wrapping_mul(7919).wrapping_add(at);
+    Front::new(policy, Dispatch::new(module(scenario, seed)), own, scenario.product.len(), seed)
+}
+
 /// The day's wishes, drawn before anything is decided, so that every policy meets the same.
 fn wishes(scenario: &Scenario, directory: Option<&Directory>, seed: u64) -> Result<Vec<Wish>, String> {
     let products: Vec<_> = scenario.product.iter().collect();
@@ -260,11 +286,10 @@
         let own = terms.as_ref().map(|terms| terms.part(1.0 / count));
         let products = scenario.product.len();
         let gateways = (0..scenario.gateways).map(|at| {
-            let seed = seed.wrapping_mul(7919).wrapping_add(at as u64);
-            let dispatch = Dispatch::new(module(scenario, seed));
-            let front = Front::new(policy, dispatch, own.as_ref(), products, seed);
+            let front = front(scenario, policy, own.as_ref(), seed, at as u64);
             let delay = scenario.list_delay_ms / 1e3 * rng.random_range(0.2..1.0);
-            Gateway { front, delay, away: false, tick: f64::INFINITY, turn: 0, plain: BTreeMap::new() }
+            let (plain, told) = (BTreeMap::new(), BTreeMap::new());
+            Gateway { front, delay, away: false, tick: f64::INFINITY, turn: 0, plain, told }
         });
         let gateways: Vec<_> = gateways.collect();
         let ration = Some(RATION);
@@ -286,6 +311,14 @@
             next: 0,
             rng,
             gateways,
+            listed: vec![(Stage::Ready, None); scenario.engines.count],
+            free_links: BTreeMap::new(),
+            standing: vec![0; scenario.engines.count],
+            loses: vec![0.0; scenario.engines.count],
+            mesh: scenario.fleet.then(|| mesh::gateways(scenario.gateways, seed, fleet::Terms::default())),
+            policy,
+            own,
+            seed,
             engines: (0..scenario.engines.count).map(|_| Engine::new(scenario.engines.clone())).collect(),
             troubles: scenario.troubles()?,
             statements: Vec::new(),
@@ -310,15 +343,125 @@
             play.at(begins, Event::Begins(at));
             play.at(begins + lasts, Event::Ends(at));
         }
-        let all: Vec<EngineFact> =
-            (0..play.engines.len()).map(|at| play.fact(at, Stage::Ready, None)).collect();
         for gateway in 0..play.gateways.len() {
-            play.gateways[gateway].front.told_list(moment(0.0), &ListNews::Whole(all.clone()));
-            play.wake(gateway, 0.0);
+            play.tell_all(gateway);
+        }
+        if let Some(mesh) = &mut play.mesh {
+            mesh.start_all();
+            mesh.run(MESH_AHEAD_S);
+            play.at(0.0, Event::Mesh);
         }
         Ok(play)
     }
 
+    /// The whole list, as a gateway that starts finds it.
+    fn tell_all(&mut self, gateway: usize) {
+        let listed = self.listed.iter().enumerate();
+        let all = listed.filter(|(_, (stage, _))| *stage == Stage::Ready);
+        let all = all.map(|(at, (stage, started))| self.fact(at, *stage, *started)).collect();
+        self.gateways[gateway].front.told_list(moment(self.now), &ListNews::Whole(all));
+        self.wake(gateway, self.now);
+    }
+
+    /// Dead with all it holds, or ended in order; from now on its clients go elsewhere.
+    fn gone(&mut self, gateway: usize, killed: bool) {
+        self.gateways[gateway].away = true;
+        let (now, end) = (self.now, self.now + END_S);
+        let open = |s: &Statement| s.gateway == gateway && (!s.answered || s.out.is_some());
+        let held: Vec<usize> = (0..self.statements.len()).filter(|at| open(&self.statements[*at])).collect();
+        if !killed {
+            self.gateways[gateway].front.hall().into_iter().for_each(|hall| hall.answer_by(moment(end)));
+        }
+        for at in held {
+            if let Some((_, relay, _)) = self.statements[at].out.filter(|_| !killed) {
+                self.at(end, Event::Due { statement: at, relay });
+            }
+            if killed {
+                let statement = &mut self.statements[at];
+                let (out, answered) =
+                    (statement.out.take(), std::mem::replace(&mut statement.answered, true));
+                out.into_iter().for_each(|(engine, ..)| self.standing[engine] -= 1);
+                self.rules.died(at as u64);
+                if !answered {
+                    self.figures.died += 1;
+                    let wish = self.statements[at].wish;
+                    if self.wishes[wish].tries > 0 && now + NOTICED_S < self.wishes[wish].ends {
+                        self.at(now + NOTICED_S, Event::Wish(wish));
+                    }
+                }
+            }
+        }
+        if killed {
+            self.drop_links(|at| at.0 == gateway);
+        }
+        if let Some(mesh) = &mut self.mesh {
+            if killed { mesh.kill(gateway) } else { mesh.leave(gateway) }
+        }
+    }
+
+    /// A gateway that starts: nothing of what it knew before.
+    fn reborn(&mut self, gateway: usize) {
+        let seed = self.seed ^ (self.now * 1e3) as u64;
+        let fresh = front(self.scenario, self.policy, self.own.as_ref(), seed, gateway as u64);
+        let of = &mut self.gateways[gateway];
+        (of.front, of.away, of.told) = (fresh, false, BTreeMap::new());
+        self.drop_links(|at| at.0 == gateway);
+        self.tell_all(gateway);
+        self.mesh.iter_mut().for_each(|mesh| mesh.start(gateway));
+    }
+
+    fn drop_links(&mut self, of: impl Fn(&(usize, usize)) -> bool) {
+        let gone: Vec<_> = self.free_links.extract_if(.., |at, _| of(at)).collect();
+        for ((_, engine), free) in gone {
+            self.standing[engine] -= free.len() as u64;
+        }
+    }
+
+    /// A free connection, or a new one.
+    fn connect(&mut self, gateway: usize, engine: usize) {
+        let (now, idle) = (self.now, self.scenario.engines.idle_s.unwrap_or(f64::INFINITY));
+        let free = self.free_links.entry((gateway, engine)).or_default();
+        let before = free.len();
+        free.retain(|since| now - since < idle);
+        self.standing[engine] -= (before - free.len()) as u64;
+        if free.pop().is_none() {
+            self.figures.handshakes += 1;
+            self.standing[engine] += 1;
+        }
+        self.figures.most_connections = self.figures.most_connections.max(self.standing[engine]);
+    }
+
+    /// Gateways tell each other what they see of engines.
+    fn mesh(&mut self) {
+        let ahead = Span::from_secs(MESH_AHEAD_S);
+        let now = moment(self.now) + ahead;
+        let Some(mesh) = &mut self.mesh else { return };
+        mesh.run(self.now + MESH_AHEAD_S);
+        for (at, gateway) in self.gateways.iter_mut().enumerate() {
+            let (Some(peer), Some(hall)) = (mesh.peer_mut(at), gateway.front.hall()) else { continue };
+            let own =
+                hall.health().filter_map(|of| Some((of.id, of.benched_until.filter(|_| !of.on_hearsay)?)));
+            let own: BTreeMap<EngineId, Moment> = own.collect();
+            for (id, until) in &own {
+                if gateway.told.get(id).is_none_or(|told| told < until) {
+                    peer.saw(now, &id.0.to_string(), fleet::EngineWord::Bad);
+                }
+            }
+            for id in gateway.told.keys().filter(|id| !own.contains_key(id)) {
+                peer.saw(now, &id.0.to_string(), fleet::EngineWord::Back);
+            }
+            gateway.told = own;
+            let doubts = peer.doubted(now).into_iter().filter_map(|doubt| {
+                let id = EngineId(doubt.engine.parse().ok()?);
+                let back = |at: Moment| at + (Span::ZERO - ahead);
+                Some(EngineDoubt { id, seen: back(doubt.seen), until: back(doubt.until) })
+            });
+            let doubts: Vec<EngineDoubt> = doubts.collect();
+            hall.told_doubts(moment(self.now), &doubts);
+        }
+        self.at(self.now + MESH_LOOK_S, Event::Mesh);
+    }
+
     fn fact(&self, engine: usize, stage: Stage, started: Option<f64>) -> EngineFact {
         EngineFact {
             id: EngineId(engine as u32),
@@ -395,10 +538,12 @@
             Event::Fails { statement, relay } => self.comes_to(statement, relay, News::Error),
             Event::News { gateway, engine, stage, started } => {
                 let fact = self.fact(engine, stage, started);
+                self.figures.lists_told += 1;
                 self.gateways[gateway].front.told_list(moment(self.now), &ListNews::Changes(vec![fact]));
                 self.rules.told(self.now, gateway, engine, stage == Stage::Ready);
                 self.wake(gateway, self.now);
             }
+            Event::Mesh => self.mesh(),
             Event::Begins(at) => self.trouble(at, true),
             Event::Ends(at) => self.trouble(at, false),
         }
@@ -409,12 +554,16 @@
         if kind == Kind::Away {
             trouble.gateways.iter().for_each(|gateway| self.gateways[*gateway].away = begins);
         }
+        for gateway in trouble.gateways.iter().copied().filter(|_| matches!(kind, Kind::Renew | Kind::Kill)) {
+            if begins { self.gone(gateway, kind == Kind::Kill) } else { self.reborn(gateway) }
+        }
         for engine in trouble.engines {
             let of = &mut self.engines[engine];
             of.advance(self.now);
             of.turn += 1;
             match (kind, begins) {
-                (Kind::Flood | Kind::Away, _) => {}
+                (Kind::Flood | Kind::Away | Kind::Renew | Kind::Kill, _) => {}
+                (Kind::Lose, _) => self.loses[engine] = if begins { trouble.share } else { 0.0 },
                 (Kind::Slow, _) => of.slow = if begins { trouble.times.max(1.0) } else { 1.0 },
                 (Kind::Pause, _) => of.state = if begins { State::Paused } else { State::Well },
                 (Kind::Fail, _) => of.state = if begins { State::Failing } else { State::Well },
@@ -441,6 +590,7 @@
     }
 
     fn reset(&mut self, engine: usize) {
+        self.drop_links(|at| at.1 == engine);
         for run in self.engines[engine].drop_all(self.now) {
             self.comes_to(run.statement as usize, RelayNo(run.relay), News::Reset);
         }
@@ -448,6 +598,7 @@
 
     fn tell(&mut self, engine: usize, stage: Stage) {
         let started = self.engines[engine].started;
+        self.listed[engine] = (stage, started);
         for gateway in 0..self.gateways.len() {
             let at = self.now + self.gateways[gateway].delay;
             self.at(at, Event::News { gateway, engine, stage, started });
@@ -548,6 +699,7 @@
         let (cpu, threads, memory_mb) = (wish.cpu, product.threads, product.memory_mb);
         let zone = self.zone(engine);
         self.rules.sent(now, id.0, engine, zone);
+        self.connect(self.statements[at].gateway, engine);
         self.figures.relays += 1;
         self.statements[at].out = Some((engine, order.relay, now));
         let (statement, relay) = (at, order.relay);
@@ -592,6 +744,10 @@
         if !out {
             return;
         }
+        let engine = self.statements[at].out.map_or(0, |out| out.0);
+        if self.loses[engine] > 0.0 && self.rng.random::<f64>() < self.loses[engine] {
+            return;
+        }
         let news = News::Completed { cpu: Some(Span::from_secs(run.cpu)), memory_mb: Some(run.memory_mb) };
         if !self.statements[at].answered {
             self.statements[at].answered = true;
@@ -638,8 +794,18 @@
 
     /// A relay has its outcome, if it is still the one out.
     fn comes_to(&mut self, at: usize, relay: RelayNo, news: News) {
-        let Some((_, _, sent)) = self.statements[at].out.filter(|(_, no, _)| *no == relay) else { return };
+        let Some((engine, _, sent)) = self.statements[at].out.filter(|(_, no, _)| *no == relay) else {
+            return;
+        };
         self.statements[at].out = None;
+        self.figures.timed_out += u64::from(news == News::TimedOut);
+        // After these the connection is of no further use.
+        if matches!(news, News::TimedOut | News::Reset | News::Unreachable) {
+            self.standing[engine] -= 1;
+        } else {
+            let gateway = self.statements[at].gateway;
+            self.free_links.entry((gateway, engine)).or_default().push(self.now);
+        }
         let ran = !matches!(news, News::Unreachable | News::TurnedAway | News::NeverSent);
         self.rules.relay_over(at as u64, ran);
         let (gateway, answered) = (self.statements[at].gateway, self.statements[at].answered);
--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -137,6 +137,14 @@
         (0..lost).for_each(|_| self.broke("1: no answer in its time"));
     }
 
+    /// Its gateway was killed with it: no answer is owed, and what it had out there nobody follows.
+    pub fn died(&mut self, id: u64) {
+        if let Some(seen) = self.seen.get_mut(&id) {
+            (seen.answered, seen.out) = (true, 0);
+            self.forget(id);
+        }
+    }
+
     pub fn told(&mut self, now: f64, gateway: usize, engine: usize, usable: bool) {
         if usable {
             self.told.remove(&(gateway, engine));
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -27,6 +27,9 @@
     pub list_delay_ms: f64,
     /// Members are allowed this many times their usual statements a second; none: no allowances.
     pub allowance_times: Option<f64>,
+    /// Gateways know each other, and share what they see of engines.
+    #[serde(default)]
+    pub fleet: bool,
     pub engines: Engines,
     pub product: BTreeMap<String, Product>,
     /// By member, then desk.
@@ -62,6 +65,8 @@
     pub threads_a_core: f64,
     pub crowd_loss: f64,
     pub note_ms: f64,
+    /// Idle connections end after this; without it the decisions are not told of connections.
+    pub idle_s: Option<f64>,
 }
 
 fn one_zone() -> u16 {
@@ -129,9 +134,17 @@
     /// By number; for a flood, none.
     #[serde(default)]
     pub engines: Vec<usize>,
+    /// More of them: from the first number to before the second.
+    #[serde(default)]
+    pub engine_range: Option<(usize, usize)>,
     /// Gateways that are away: their clients go to the next one.
     #[serde(default)]
     pub gateways: Vec<usize>,
+    #[serde(default)]
+    pub gateway_range: Option<(usize, usize)>,
+    /// Of lost answers, the part.
+    #[serde(default)]
+    pub share: f64,
     /// Of a flood: which traffic; all of it where not named.
     pub member: Option<String>,
     pub product: Option<String>,
@@ -156,15 +169,51 @@
     Away,
     /// Dies with all it has, and comes back cold after the time.
     Restart,
+    /// Gateways end in order and come back knowing nothing.
+    Renew,
+    /// Gateways die with all they hold, and come back knowing nothing.
+    Kill,
+    /// A part of the answers of these engines never comes.
+    Lose,
+}
+
+/// Blocks go into blocks, all else takes the place of what was there.
+fn lay_over(whole: &mut hcl::Value, file: hcl::Value) {
+    match (whole, file) {
+        (hcl::Value::Object(whole), hcl::Value::Object(file)) => {
+            for (name, value) in file {
+                match whole.get_mut(&name) {
+                    Some(below) => lay_over(below, value),
+                    None => drop(whole.insert(name, value)),
+                }
+            }
+        }
+        (whole, file) => *whole = file,
+    }
 }
 
 impl Scenario {
     /// # Errors
     /// The file cannot be read, or says what no scenario can.
     pub fn read(path: &Path) -> Result<Self, ScenarioError> {
+        let name = path.display().to_string();
+        let form = |why| ScenarioError::Form(name.clone(), why);
+        let file = Self::value(path)?;
+        Self::parse(&hcl::to_string(&file).map_err(|e| form(e.to_string()))?).map_err(form)
+    }
+
+    /// The file, over that which its `base` names beside it.
+    pub fn value(path: &Path) -> Result<hcl::Value, ScenarioError> {
         let name = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|e| ScenarioError::Unreadable(name.clone(), e))?;
-        Self::parse(&text).map_err(|why| ScenarioError::Form(name, why))
+        let mut file: hcl::Value =
+            hcl::from_str(&text).map_err(|e| ScenarioError::Form(name.clone(), e.to_string()))?;
+        let base = file.as_object_mut().and_then(|fields| fields.shift_remove("base"));
+        let Some(base) = base else { return Ok(file) };
+        let base = base.as_str().ok_or_else(|| ScenarioError::Form(name, "base: no file's name".into()))?;
+        let mut whole = Self::value(&path.with_file_name(base))?;
+        lay_over(&mut whole, file);
+        Ok(whole)
     }
 
     pub fn parse(text: &str) -> Result<Self, String> {
@@ -179,6 +228,10 @@
         }
         let troubles = scenario.troubles()?;
         let engine = troubles.iter().flat_map(|(_, t)| &t.engines).find(|at| **at >= scenario.engines.count);
+        let gateway = troubles.iter().flat_map(|(_, t)| &t.gateways).find(|at| **at >= scenario.gateways);
+        if let Some(gateway) = gateway {
+            return Err(format!("script: no gateway {gateway}"));
+        }
         match engine {
             Some(engine) => Err(format!("script: no engine {engine}")),
             None => Ok(scenario),
@@ -186,8 +239,7 @@
     }
 
     /// A field by its path, as `sweep` sets it: `engines.count`, `traffic.valley-water.counter.per_s.lookup`.
-    pub fn with(text: &str, path: &str, value: f64) -> Result<Self, String> {
-        let mut file: hcl::Value = hcl::from_str(text).map_err(|e| e.to_string())?;
+    pub fn with(mut file: hcl::Value, path: &str, value: f64) -> Result<Self, String> {
         let mut at = &mut file;
         for step in path.split('.') {
             let below = at.as_object_mut().and_then(|fields| fields.get_mut(step));
@@ -210,6 +262,9 @@
                 "slow" => Kind::Slow,
                 "restart" => Kind::Restart,
                 "away" => Kind::Away,
+                "renew" => Kind::Renew,
+                "kill" => Kind::Kill,
+                "lose" => Kind::Lose,
                 other => return Err(format!("script: unknown kind {other}")),
             };
             match several {
@@ -217,6 +272,11 @@
                 Several::Many(troubles) => all.extend(troubles.iter().map(|trouble| (kind, trouble.clone()))),
             }
         }
+        for (_, trouble) in &mut all {
+            let (engines, gateways) = (trouble.engine_range, trouble.gateway_range);
+            trouble.engines.extend(engines.into_iter().flat_map(|(from, to)| from..to));
+            trouble.gateways.extend(gateways.into_iter().flat_map(|(from, to)| from..to));
+        }
         Ok(all)
     }
 
--- /dev/null
+++ b/crates/lab/tests/fleet.rs
@@ -0,0 +1,368 @@
+//! The hard cases of gateways that know each other, at 20 and 300 in simulated time, over the very code.
+
+use std::collections::BTreeSet;
+
+use admission::interface::{Moment, Span};
+use fleet::letter;
+use fleet::{
+    EngineNews, EngineWord, Gateway, Incarnation, Life, Name, Place, Record, Ring, Standing, State, Terms,
+};
+use lab::mesh::{self, KEY, Mesh, address, gateways, name};
+
+fn started(count: usize, seed: u64) -> Mesh<Gateway> {
+    started_by(count, seed, Terms::default())
+}
+
+fn started_by(count: usize, seed: u64, terms: Terms) -> Mesh<Gateway> {
+    let mut mesh = gateways(count, seed, terms);
+    mesh.start_all();
+    let joined = mesh.settle(120.0);
+    assert!(joined.is_some(), "{count} never know each other");
+    let until = mesh.now + 12.0;
+    mesh.run(until);
+    assert!(mesh::together(&mesh), "{:?}", standings(&mesh));
+    mesh
+}
+
+fn standings(mesh: &Mesh<Gateway>) -> BTreeSet<String> {
+    mesh.lives().iter().filter_map(|at| Some(mesh.peer(*at)?.standing().to_string())).collect()
+}
+
+fn deaths(mesh: &Mesh<Gateway>) -> Vec<mesh::Death> {
+    mesh.deaths.iter().copied().filter(|death| death.false_one).collect()
+}
+
+#[test]
+fn half_vanish_and_the_rest_settles_on_the_right_ones() {
+    for (count, within) in [(20, 20.0), (300, 40.0)] {
+        let mut mesh = started(count, 1);
+        (0..count / 2).for_each(|at| mesh.kill(at * 2));
+        let settled = mesh.settle(within);
+        assert!(settled.is_some(), "{count}: {:?}", standings(&mesh));
+        assert_eq!(deaths(&mesh), [], "{count}");
+        mesh.run(mesh.now + 15.0);
+        assert!(
+            mesh::together(&mesh),
+            "{count}: {:?} {:?}",
+            standings(&mesh),
+            mesh.lives()
+                .iter()
+                .filter(|at| !mesh::is_together(&mesh, **at))
+                .map(|at| (at, mesh.peer(*at).unwrap().about()))
+                .take(3)
+                .collect::<Vec<_>>()
+        );
+    }
+}
+
+#[test]
+fn three_hundred_join_within_a_second() {
+    let mut mesh = gateways(300, 2, Terms::default());
+    mesh.start(0);
+    for at in 1..300 {
+        mesh.run(at as f64 / 300.0);
+        mesh.start(at);
+    }
+    let joined = mesh.settle(60.0);
+    assert!(joined.is_some());
+    assert_eq!(deaths(&mesh), []);
+}
+
+/// Each side's standing, then healing without a storm and with nobody left for dead.
+#[test]
+fn partitions_in_two_and_in_three_are_named_and_heal() {
+    type Side = fn(usize) -> usize;
+    let cases: [(usize, Side); 4] =
+        [(20, |at| at % 4 / 3), (21, |at| at % 3), (20, |at| at / 15), (100, |at| at % 4 / 3)];
+    for (count, side) in cases {
+        let mut mesh = started(count, 3);
+        mesh.cut(|a, b| side(a) != side(b));
+        mesh.run(mesh.now + 60.0);
+        for at in mesh.lives() {
+            let own = (0..count).filter(|other| side(*other) == side(at)).count();
+            let gateway = mesh.peer(at).unwrap();
+            assert_eq!(gateway.size(), own, "{at} of {count}");
+            let assumed = gateway.assumed();
+            if own * 2 < count {
+                assert_eq!(gateway.standing().name(), "cut off", "{at} of {count}");
+                assert!(
+                    assumed.at_most == count
+                        && assumed.at_least == own
+                        && !assumed.engine_news
+                        && !assumed.may_agree
+                );
+            } else {
+                assert_eq!(gateway.standing().name(), "together", "{at} of {count}");
+            }
+        }
+        assert_eq!(deaths(&mesh), [], "{count}");
+        mesh.heal();
+        let before = mesh.sent.clone();
+        let settled = mesh.settle(90.0);
+        assert!(settled.is_some(), "{count}: not healed, {:?}", standings(&mesh));
+        // No storm: no more a second than the stated bound.
+        let seconds = settled.unwrap().max(1.0);
+        for (after, before) in mesh.sent.iter().zip(before) {
+            let pace = (after.0 - before.0) as f64 / seconds;
+            assert!(pace < 60.0, "{count}: {pace} datagrams a second while healing");
+        }
+        mesh.run(mesh.now + 20.0);
+        assert!(mesh::together(&mesh), "{count}: {:?}", standings(&mesh));
+    }
+}
+
+#[test]
+fn a_one_way_cut_and_a_chain_kill_nobody_that_others_reach() {
+    // g2 hears g1, g1 does not hear g2: others reach both.
+    let mut mesh = started(20, 4);
+    mesh.cut(|a, b| (a, b) == (2, 1));
+    mesh.run(mesh.now + 60.0);
+    assert!(mesh.deaths.is_empty(), "{:?}", mesh.deaths);
+    // Nobody hears g1, which hears all: it is taken off, and comes back.
+    mesh.cut(|a, _| a == 1);
+    mesh.run(mesh.now + 60.0);
+    assert!(mesh.lives().iter().all(|at| *at == 1 || mesh.peer(*at).unwrap().size() == 19));
+    mesh.heal();
+    assert!(mesh.settle(60.0).is_some(), "{:?}", standings(&mesh));
+    // Neighbours only reach neighbours: whoever is two away is asked for through the one between.
+    let mut mesh = started(6, 5);
+    mesh.cut(|a, b| a.abs_diff(b) > 1);
+    mesh.run(mesh.now + 60.0);
+    mesh.heal();
+    assert!(mesh.settle(60.0).is_some(), "nobody who lives stays dead: {:?}", standings(&mesh));
+}
+
+#[test]
+fn a_stopped_and_a_slow_gateway_bring_no_other_into_suspicion() {
+    let mut mesh = started(20, 6);
+    mesh.stop(7);
+    mesh.run(mesh.now + 5.0);
+    mesh.wake(7);
+    assert!(mesh.settle(30.0).is_some(), "{:?}", standings(&mesh));
+    let suspected = |mesh: &Mesh<Gateway>| [3, 7].map(|at| mesh.peer(at).unwrap().tally.probes_failed);
+    let before = suspected(&mesh);
+    mesh.slow(3, 0.3);
+    mesh.run(mesh.now + 60.0);
+    let by = |at: usize| mesh.deaths.iter().filter(|death| death.by == at).count();
+    assert_eq!((by(7), by(3)), (0, 0), "{:?}", mesh.deaths);
+    let others: Vec<_> = mesh.deaths.iter().filter(|death| ![3, 7].contains(&death.of)).collect();
+    assert!(others.is_empty(), "{others:?}");
+    for at in [3, 7] {
+        assert!(mesh.peer(at).unwrap().tally.stood_still > 0);
+    }
+    assert_eq!(suspected(&mesh), before, "suspected others for its own slowness");
+}
+
+/// Each letter of the liar's own, under its key and counter, with lies beside what it says.
+fn forged(bytes: &mut Vec<u8>, count: usize) {
+    let (ring, lab) = (Ring::new(&KEY, &[]).unwrap(), Name::new("lab").unwrap());
+    let Ok(mut letter) = letter::open(&ring, &lab, bytes) else { return };
+    let number = letter.counter;
+    let record = |name: Name, at, state, incarnation| Record {
+        name,
+        life: Life(number),
+        incarnation: Incarnation(incarnation),
+        address: address(at),
+        place: Place::default(),
+        state,
+    };
+    letter.records = (0..9)
+        .map(|at| {
+            let of = (number as usize * 9 + at) % count;
+            let ghost = Name::new(&format!("ghost-{number}-{at}")).unwrap();
+            match at % 5 {
+                0 => record(name(of), of, State::Dead, 2),
+                1 => record(name(of), of, State::Dead, u32::MAX),
+                2 => record(ghost, 1000 + number as usize % 1000, State::Alive, 1),
+                3 => record(name(of), of, State::Left, 9),
+                // At the liar's own address, under another's name.
+                _ => record(name(of), 5, State::Alive, 5000),
+            }
+        })
+        .collect();
+    let bad = |at| EngineNews { engine: format!("e-{at}"), word: EngineWord::Bad, age_ms: 0 };
+    letter.engines = (0..12).map(bad).collect();
+    *bytes = letter::seal(&ring, &letter);
+}
+
+#[test]
+fn a_liar_with_the_key_moves_neither_the_fleet_nor_the_choice_of_engines() {
+    for count in [20, 300] {
+        let mut mesh = started(count, 8);
+        let liar = 5;
+        mesh.liar = Some(Box::new(move |from, _, bytes| {
+            if from == liar {
+                forged(bytes, count);
+            }
+        }));
+        for second in 0..40 {
+            mesh.run(mesh.now + 1.0);
+            assert!(
+                mesh.deaths.is_empty(),
+                "{count}, second {second}: {:?}",
+                &mesh.deaths[..mesh.deaths.len().min(5)]
+            );
+        }
+        let now = Moment::from_secs(mesh.now);
+        for at in mesh.lives() {
+            let gateway = mesh.peer_mut(at).unwrap();
+            assert_eq!(gateway.size(), count, "{at}");
+            assert!(gateway.table_len() <= 1024);
+            assert_eq!(gateway.doubted(now), [], "{at} doubts engines on one word");
+            assert!(gateway.own().incarnation < Incarnation(10_000), "{:?}", gateway.own());
+        }
+        mesh.liar = None;
+        mesh.run(mesh.now + 60.0);
+        assert!(mesh.agreed());
+        assert!(
+            mesh.lives().iter().all(|at| mesh.peer(*at).unwrap().table_len() == count - 1),
+            "ghosts are gone"
+        );
+    }
+}
+
+#[test]
+fn engines_are_doubted_on_two_independent_words_and_not_on_one() {
+    let mut mesh = started(20, 9);
+    let now = Moment::from_secs(mesh.now);
+    mesh.peer_mut(4).unwrap().saw(now, "e-1", EngineWord::Bad);
+    mesh.run(mesh.now + 3.0);
+    let doubting = |mesh: &mut Mesh<Gateway>, engine: &str| {
+        let now = Moment::from_secs(mesh.now);
+        (0..20)
+            .filter(|at| mesh.peer_mut(*at).unwrap().doubted(now).iter().any(|doubt| doubt.engine == engine))
+            .count()
+    };
+    assert_eq!(doubting(&mut mesh, "e-1"), 0);
+    let now = Moment::from_secs(mesh.now);
+    mesh.peer_mut(9).unwrap().saw(now, "e-1", EngineWord::Bad);
+    mesh.run(mesh.now + 3.0);
+    assert!(doubting(&mut mesh, "e-1") >= 18);
+    // It leaves with its evidence.
+    mesh.run(mesh.now + 10.0);
+    assert_eq!(doubting(&mut mesh, "e-1"), 0);
+}
+
+#[test]
+fn all_restarted_in_turn_and_all_at_once_know_each_other_again() {
+    let mut mesh = started(20, 10);
+    for at in 0..20 {
+        mesh.leave(at);
+        mesh.run(mesh.now + 1.0);
+        mesh.start(at);
+        mesh.run(mesh.now + 2.0);
+    }
+    assert!(mesh.settle(30.0).is_some(), "{:?}", standings(&mesh));
+    assert_eq!(deaths(&mesh), []);
+    (0..20).for_each(|at| mesh.kill(at));
+    mesh.run(mesh.now + 0.5);
+    mesh.start_all();
+    assert!(mesh.settle(60.0).is_some(), "{:?}", standings(&mesh));
+    assert_eq!(deaths(&mesh), []);
+}
+
+#[test]
+fn seeds_that_name_nobody_alive_leave_a_gateway_alone_until_one_comes() {
+    let mut mesh = gateways(5, 11, Terms::default());
+    mesh.start(3);
+    mesh.start(4);
+    mesh.run(20.0);
+    assert!([3, 4].iter().all(|at| *mesh.peer(*at).unwrap().standing() == Standing::Alone));
+    mesh.start(1);
+    assert!(mesh.settle(30.0).is_some());
+    assert_eq!(mesh.peer(3).unwrap().size(), 3);
+}
+
+#[test]
+fn a_third_lost_for_a_minute_and_all_repeated_late_kills_nobody() {
+    for count in [20, 60] {
+        let mut mesh = started(count, 12);
+        mesh.faults.lost = 1.0 / 3.0;
+        mesh.faults.repeated = 1.0;
+        mesh.faults.delay_s = (0.001, 0.1);
+        mesh.run(mesh.now + 60.0);
+        // Stated: under one a gateway and hour.
+        let false_ones = mesh.false_deaths();
+        assert!(false_ones * 60 <= count, "{count}: {false_ones} in a minute");
+        mesh.faults = mesh::Faults::default();
+        assert!(mesh.settle(60.0).is_some(), "{:?}", standings(&mesh));
+        let repeated: u64 =
+            mesh.lives().iter().map(|at| mesh.peer(*at).unwrap().tally.refused_repeated).sum();
+        assert!(repeated > 0);
+    }
+}
+
+#[test]
+fn keys_change_one_gateway_after_another_and_nobody_is_lost() {
+    let mut mesh = started(20, 13);
+    let (old, new) = (KEY, [8; 32]);
+    for (signs, other) in [(old, Some(new)), (new, Some(old)), (new, None)] {
+        for at in 0..20 {
+            let others: Vec<[u8; 32]> = other.into_iter().collect();
+            let ring = Ring::new(&signs, &others).unwrap();
+            mesh.peer_mut(at).unwrap().change((0..3).map(address).collect(), ring, Terms::default());
+            mesh.run(mesh.now + 3.0);
+        }
+    }
+    assert!(mesh.deaths.is_empty(), "{:?}", mesh.deaths);
+    assert!(mesh.agreed());
+}
+
+#[test]
+fn two_processes_with_one_name_end_with_one_in_the_fleet() {
+    let mut mesh: Mesh<Gateway> = Mesh::new(6, 14, |at, now, life| {
+        let ring = Ring::new(&KEY, &[]).unwrap();
+        // The last has the name of the one before it, at another address.
+        let own = name(at.min(4));
+        let seeds = (0..3).map(address).collect();
+        Gateway::new(
+            now,
+            Name::new("lab").unwrap(),
+            own,
+            address(at),
+            Place::default(),
+            seeds,
+            ring,
+            Terms::default(),
+            at as u64 * 100 + u64::from(life),
+        )
+    });
+    mesh.start_all();
+    mesh.run(60.0);
+    let held: BTreeSet<_> =
+        (0..4).map(|at| mesh.peer(at).unwrap().held(&name(4)).unwrap().record.address).collect();
+    assert_eq!(held.len(), 1, "all hold the same one: {held:?}");
+    let incarnations = [4, 5].map(|at| mesh.peer(at).unwrap().own().incarnation);
+    assert!(incarnations.iter().all(|of| *of < Incarnation(100)), "{incarnations:?}");
+}
+
+#[test]
+fn what_one_sends_does_not_grow_with_the_fleet() {
+    let pace = |count| {
+        let mut mesh = started(count, 15);
+        let (before, from) = (mesh.sent.clone(), mesh.now);
+        mesh.run(from + 20.0);
+        let each =
+            mesh.sent.iter().zip(before).map(|(after, before)| {
+                ((after.0 - before.0) as f64 / 20.0, (after.1 - before.1) as f64 / 20.0)
+            });
+        each.fold((0.0f64, 0.0f64), |most, of| (most.0.max(of.0), most.1.max(of.1)))
+    };
+    let (few, many) = (pace(20), pace(300));
+    assert!(few.0 < 10.0 && many.0 < 10.0, "{few:?}, {many:?} datagrams and bytes a second");
+    assert!(many.1 < 9000.0, "{many:?}");
+}
+
+#[test]
+fn a_leave_is_no_failure_and_leaves_nothing_behind_after_its_time() {
+    let keep_gone = Span::from_secs(20.0);
+    let mut mesh = started_by(20, 16, Terms { keep_gone, ..Terms::default() });
+    mesh.leave(8);
+    assert!(mesh.settle(10.0).is_some(), "{:?}", standings(&mesh));
+    assert!(
+        mesh.deaths.is_empty()
+            && (0..20).filter(|at| *at != 8).all(|at| mesh.peer(at).unwrap().tally.suspected == 0)
+    );
+    mesh.run(mesh.now + 40.0);
+    assert!(mesh.lives().iter().all(|at| mesh.peer(*at).unwrap().held(&name(8)).is_none()));
+}
--- a/crates/operator/src/identity_block.rs
+++ b/crates/operator/src/identity_block.rs
@@ -6,11 +6,7 @@
 use identity::Terms;
 use serde::Deserialize;
 
-use crate::{Fault, fault};
-
-fn yes() -> bool {
-    true
-}
+use crate::{Fault, fault, yes};
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,10 +1,12 @@
 //! The operator's file: HCL, in blocks by subsystem. A field that is not known, cannot be used or contradicts another
 //! is one error that names file, line and field. Without a file, or without its block, a subsystem is off.
 
+mod fleet_block;
 mod identity_block;
 mod place;
 mod queues_block;
 
+pub use fleet_block::FleetTerms;
 pub use identity_block::Callers;
 pub use queues_block::Queues as QueuesBlock;
 
@@ -33,6 +35,10 @@
     pub why: String,
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn fault(path: &[&str], why: impl ToString) -> Fault {
     Fault { path: path.iter().map(|step| step.to_string()).collect(), why: why.to_string() }
 }
@@ -42,6 +48,7 @@
 struct File {
     queues: Option<queues_block::Queues>,
     identity: Option<identity_block::Identity>,
+    fleet: Option<fleet_block::Fleet>,
 }
 
 /// What the file says, checked.
@@ -50,6 +57,7 @@
     /// Budgets of all gateways together.
     pub queues: Option<queues::Terms>,
     pub identity: Option<Callers>,
+    pub fleet: Option<FleetTerms>,
 }
 
 impl Operator {
@@ -90,6 +98,7 @@
         let queues = read.queues.map(queues_block::Queues::terms).transpose().map_err(&located)?.flatten();
         let identity =
             read.identity.map(identity_block::Identity::callers).transpose().map_err(&located)?.flatten();
-        Ok(Operator { queues, identity })
+        let fleet = read.fleet.map(fleet_block::Fleet::terms).transpose().map_err(&located)?.flatten();
+        Ok(Operator { queues, identity, fleet })
     }
 }
--- a/crates/queues/src/hall.rs
+++ b/crates/queues/src/hall.rs
@@ -156,6 +156,16 @@
         self.dispatch.told_load(engine, report);
     }
 
+    /// What others lost statements to.
+    pub fn told_doubts(&mut self, now: Moment, doubts: &[EngineDoubt]) {
+        self.dispatch.told_doubts(now, doubts);
+    }
+
+    /// How each engine stands.
+    pub fn health(&self) -> impl Iterator<Item = EngineHealth> {
+        self.dispatch.health()
+    }
+
     pub fn beliefs(&self) -> impl Iterator<Item = (EngineId, u32, bool)> {
         self.dispatch.beliefs()
     }
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,7 @@
+//! A stand-in for a network and an operating system that fail: starts several real gateway processes on loopback, leads
+//! each datagram between them through a switch that loses, delays, repeats, spoils and cuts, and stops, wakes, kills and
+//! restarts the processes. Every child ends with the rig, also when a test panics.
+
+pub mod fleet;
+pub mod script;
+pub mod switch;
