--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -178,7 +178,7 @@
         memory_mb: vec![engines.memory_mb],
         note_pace: Some(Span::from_secs(engines.note_ms / 1e3)),
         ranks_heeded: false,
-        idle: engines.idle_s.map(Span::from_secs),
+        idle: engines.idle_s.filter(|_| !scenario.idle_untold).map(Span::from_secs),
     };
     let cold = ColdStart {
         share: engines.cold_share,
@@ -392,6 +392,9 @@
             }
         }
         if killed {
+            // What it held dies with it: its decisions must not go on answering.
+            let fresh = front(self.scenario, self.policy, self.own.as_ref(), self.seed, gateway as u64);
+            self.gateways[gateway].front = fresh;
             self.drop_links(|at| at.0 == gateway);
         }
         if let Some(mesh) = &mut self.mesh {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -30,6 +30,9 @@
     /// Gateways know each other, and share what they see of engines.
     #[serde(default)]
     pub fleet: bool,
+    /// The decisions are not told when idle connections end, for comparison.
+    #[serde(default)]
+    pub idle_untold: bool,
     pub engines: Engines,
     pub product: BTreeMap<String, Product>,
     /// By member, then desk.
