--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -51,7 +51,7 @@
             keep_gone: Span::from_secs(300.0),
             answers_per_s: 50.0,
             pages_per_s: 20.0,
-            news_per_s: 20.0,
+            news_per_s: 100.0,
             looks: 4,
             cut_off_below: 0.5,
             accept: Span::from_secs(120.0),
--- a/crates/fleet/tests/hostile.rs
+++ b/crates/fleet/tests/hostile.rs
@@ -237,3 +237,18 @@
     let question = letter(from, 1 << 50, Body::Ping(Nonce(1)));
     assert_eq!(all[0].receive(later, at(2), &letter::seal(&ring(), &question)), Ok(()));
 }
+
+#[test]
+fn one_whose_table_never_ends_is_asked_at_a_pace() {
+    let mut all: Vec<Gateway> = (1..=2).map(|number| gateway(number, Terms::default())).collect();
+    let mut now = 0.0;
+    talk(&mut all, &mut now, 8.0);
+    let from = all[1].own().clone();
+    for counter in 0..1000u64 {
+        let next = Some(Name::new("a").unwrap());
+        let page = letter(from.clone(), (1 << 40) + counter, Body::Page { next });
+        all[0].receive(moment(now), at(2), &letter::seal(&ring(), &page)).unwrap();
+    }
+    let asked = all[0].take_out().len();
+    assert!((1..=8).contains(&asked), "{asked} at once");
+}
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -111,6 +111,19 @@
     }
 }
 
+/// Without seeds to meet at, those that took each other for dead are called now and then.
+#[test]
+fn two_halves_find_each_other_when_all_seeds_are_dead() {
+    let mut mesh = started(12, 17);
+    (0..3).for_each(|at| mesh.kill(at));
+    assert!(mesh.settle(30.0).is_some());
+    mesh.cut(|a, b| (a < 8) != (b < 8));
+    mesh.run(mesh.now + 60.0);
+    assert!(mesh.lives().iter().all(|at| mesh.peer(*at).unwrap().size() <= 5));
+    mesh.heal();
+    assert!(mesh.settle(90.0).is_some(), "{:?}", standings(&mesh));
+}
+
 #[test]
 fn a_one_way_cut_and_a_chain_kill_nobody_that_others_reach() {
     // g2 hears g1, g1 does not hear g2: others reach both.
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -23,15 +23,19 @@
         /// The gateway's program; without it, the one beside this.
         #[arg(long)]
         program: Option<PathBuf>,
+        /// Each gateway alone, for comparison.
+        #[arg(long)]
+        alone: bool,
     },
 }
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
-    let Command::Run { file, seed, program } = Arguments::parse().command;
+    let Command::Run { file, seed, program, alone } = Arguments::parse().command;
     let script = Script::parse(&std::fs::read_to_string(&file)?)?;
     let beside = std::env::current_exe()?.with_file_name("laurelhitch");
     let mut wanted = Wanted::new(program.unwrap_or(beside), script.gateways);
     wanted.engines = script.engines;
+    wanted.fleet = !alone;
     wanted.seed = seed.unwrap_or(script.seed);
     if !script.block.is_empty() {
         wanted.block.clone_from(&script.block);
@@ -42,14 +46,11 @@
         println!("{:9.3} s  {who}  {what}", at.as_secs_f64());
     }
     for at in fleet.everyone() {
+        fleet.print_counters(at);
+        let busy = fleet.counter(at, "busy_ms").unwrap_or(-1);
         let shown = fleet.shown(at).unwrap_or_default();
-        println!(
-            "at the end  {}  {} of {}  {}",
-            name(at),
-            shown.standing,
-            shown.size,
-            shown.there().join(" ")
-        );
+        let there = shown.there().join(" ");
+        println!("at the end  {}  busy {busy} ms  {} of {}  {there}", name(at), shown.standing, shown.size);
     }
     for (at, carried) in fleet.switch.carried().iter().enumerate() {
         println!(
--- a/crates/rig/src/switch.rs
+++ b/crates/rig/src/switch.rs
@@ -146,7 +146,7 @@
             {
                 let mut fds: Vec<PollFd> =
                     self.ports.iter().map(|port| PollFd::new(&port.socket, PollFlags::IN)).collect();
-                let wait = rustix::time::Timespec { tv_sec: 0, tv_nsec: wait.subsec_nanos().into() };
+                let wait = rustix::event::Timespec { tv_sec: 0, tv_nsec: wait.subsec_nanos().into() };
                 let _ = poll(&mut fds, Some(&wait));
             }
             for to in 0..self.ports.len() {
--- a/deploy/laurelhitch.hcl
+++ b/deploy/laurelhitch.hcl
@@ -36,3 +36,17 @@
 #   remembered       = 10000    # verdicts
 #   checks_per_s     = 500      # signatures checked a second beyond those that hold
 # }
+
+# fleet {                                            # not where gateways may not talk to each other
+#   fleet       = "hengchun"
+#   bind        = "10.0.0.4:7946"                    # UDP
+#   advertise   = "10.0.0.4:7946"                    # where others reach it; bind without it
+#   seeds       = ["10.0.0.5:7946", "10.0.0.6:7946"]
+#   keys_folder = "/etc/laurelhitch/fleet-keys"      # kept by `laurelhitch fleet-keys`
+#   zone        = "room-a"
+#   period_ms   = 1000
+#   answer_ms   = 300
+#   liars       = 1        # hearsay counts from one more host
+#   cut_off_below = 0.5
+#   accept_ms   = 120000
+# }
