What has not left when its statement is answered is taken back, not sent on later

Ruled out: second answers (answers_late change nothing), clients that come again (their ids are new), relays begun on connections that were up (none of the 110). A client that leaves or kills its statement left the same behind (unwanted).

A relay of which nothing has left the machine is taken out of the buffer; one begun on a connection of its own ends it; it is reported as never run (unreachable where the connection was not up, never sent otherwise), so its statement may be denied instead of scrapped. Counter relays_withdrawn.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -59,6 +59,7 @@
     relays_reset: "their connection ended first",
     relays_cancelled: "given up by the decisions",
     relays_unsent: "no descriptor left for a connection",
+    relays_withdrawn: "taken back before they left this machine: their answer was due, or their client gone",
     answers_spoilt: "answers that cannot be used or stopped half way: each ends its connection",
     answers_late: "answers to what was over already, ignored",
     notes: "notes on running relays",
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -70,7 +70,8 @@
     relay: RelayNo,
     sent: Moment,
     due: Moment,
-    /// Of all bytes put on the connection, the first after this relay's.
+    /// Of all bytes put on the connection, the first of this relay's, and the first after them.
+    starts_at: u64,
     ends_at: u64,
     coming: Option<Coming>,
     /// Its client is gone: the work still counts, the pages do not.
@@ -160,12 +161,14 @@
         let at = self.connection(now, o, counters)?;
         let max_ms = ((o.due - now).secs() * 1e3).max(1.0) as u64;
         let connection = self.connections.get_mut(&at).expect("just chosen");
+        let starts_at = connection.socket.put;
         connection.socket.put(&lines::relay(&o.rid, o.product, max_ms, o.rank, o.text));
         let relay = Relay {
             statement: o.statement,
             relay: o.relay,
             sent: now,
             due: o.due,
+            starts_at,
             ends_at: connection.socket.put,
             coming: None,
             unwanted: false,
@@ -295,6 +298,9 @@
     /// No client waits for it any more: what is still to come of its result is not asked for.
     pub fn unwanted(&mut self, now: Moment, id: StatementId, no: RelayNo, counters: &mut Counters) {
         let Some((at, rid)) = self.places.get(&(id, no)).copied() else { return };
+        if self.withdraw(now, at, &rid, counters) {
+            return;
+        }
         let relay = self.connections.get_mut(&at).and_then(|connection| connection.relays.get_mut(&rid));
         relay.into_iter().for_each(|relay| relay.unwanted = true);
         self.complete(now, at, &rid, counters);
@@ -360,6 +366,11 @@
         let Some((at, rid)) = self.places.get(&(id, no)).copied() else { return };
         let Some(connection) = self.connections.get_mut(&at) else { return };
         let Some(relay) = connection.relays.get(&rid) else { return };
+        if relay.ends_at > connection.socket.written && self.withdraw(now, at, &rid, counters) {
+            return;
+        }
+        let Some(connection) = self.connections.get_mut(&at) else { return };
+        let Some(relay) = connection.relays.get(&rid) else { return };
         if relay.coming.is_some() {
             connection.socket.put(&lines::forget(&rid));
         } else {
@@ -372,6 +383,40 @@
         self.settle(at);
     }
 
+    /// Takes a relay back that has not left this machine whole. It has its answer, or is about to: a connection that comes
+    /// up later, or takes bytes again, must not carry it on after that. True: it is off the books, and never ran.
+    fn withdraw(&mut self, now: Moment, at: u64, rid: &Rid, counters: &mut Counters) -> bool {
+        let Some(connection) = self.connections.get_mut(&at) else { return false };
+        let Some(relay) = connection.relays.get(rid) else { return false };
+        let (from, to, latency) = (relay.starts_at, relay.ends_at, now - relay.sent);
+        if to <= connection.socket.written {
+            return false;
+        }
+        let alone = connection.relays.len() == 1;
+        if connection.socket.take_back(from, to) {
+            let later = connection.relays.values_mut().filter(|relay| relay.starts_at >= to);
+            later.for_each(|relay| {
+                (relay.starts_at, relay.ends_at) =
+                    (relay.starts_at - (to - from), relay.ends_at - (to - from));
+            });
+        } else if !alone {
+            // Begun already, and others' are behind it: its end is needed for them to be read.
+            return false;
+        }
+        counters.relays_withdrawn += 1;
+        // Not up in the statement's time tells of the engine; bytes that it did not take yet, of nobody.
+        let coming_up = connection.connecting.is_some();
+        let news = if coming_up { News::Unreachable } else { News::NeverSent };
+        self.over(now, at, rid, news, latency, Vec::new());
+        if alone {
+            // Nobody waits for it any more, or what it began must not be ended.
+            drop(self.drop_connection(at));
+        } else {
+            self.settle(at);
+        }
+        true
+    }
+
     /// Takes a relay off the books and tells of its end.
     fn over(&mut self, now: Moment, at: u64, rid: &Rid, news: News, latency: Span, pages: Vec<Bytes>) {
         let Some(connection) = self.connections.get_mut(&at) else { return };
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -212,6 +212,20 @@
         Ok(())
     }
 
+    /// Takes bytes back that were put and of which nothing has left; what was put behind them moves up. True: they are
+    /// gone, and were never written. Bytes within TLS cannot be taken back.
+    pub fn take_back(&mut self, from: u64, to: u64) -> bool {
+        if self.tls.is_some() || from < self.written || to > self.put || from >= to {
+            return false;
+        }
+        let (from, to) = ((from - self.written) as usize, (to - self.written) as usize);
+        let behind = self.out.split_off(to);
+        self.out.truncate(from);
+        self.out.unsplit(behind);
+        self.put -= (to - from) as u64;
+        true
+    }
+
     pub fn unwritten(&self) -> usize {
         self.out.len() + usize::from(self.tls.as_ref().is_some_and(|tls| tls.wants_write()))
     }
@@ -232,3 +246,43 @@
         self.token.take().into_iter().for_each(|token| self.handle.remove(token));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::net::TcpListener;
+
+    use calloop::EventLoop;
+
+    use super::*;
+
+    #[test]
+    fn what_has_not_left_is_taken_back_whole_or_not_at_all() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (mut far, _) = listener.accept().unwrap();
+        let event_loop: EventLoop<'_, Ready> = EventLoop::try_new().unwrap();
+        let mut socket = Socket::new(near, &event_loop.handle(), Peer::Engine(0)).unwrap();
+        socket.put(b"first ");
+        socket.flush().unwrap();
+        socket.put(b"second ");
+        socket.put(b"third ");
+        socket.put(b"fourth");
+        for (from, to, back) in [
+            // Written, in part or whole; empty; beyond what was put.
+            (0, 6, false),
+            (5, 13, false),
+            (13, 13, false),
+            (19, 40, false),
+            (13, 19, true),
+        ] {
+            assert_eq!(socket.take_back(from, to), back, "{from} to {to}");
+        }
+        assert_eq!(socket.put, 19);
+        socket.put(b"!");
+        socket.flush().unwrap();
+        drop(socket);
+        let mut got = String::new();
+        far.read_to_string(&mut got).unwrap();
+        assert_eq!(got, "first second fourth!");
+    }
+}
--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -223,6 +223,57 @@
     add_up(&log);
 }
 
+/// Seen on a day on which connections came up late: what waited on one went on after its statement had its answer.
+#[test]
+fn a_connection_that_comes_up_late_carries_on_nothing_that_has_its_answer() {
+    let stuck = TcpListener::bind("127.0.0.1:0").unwrap();
+    rustix::net::listen(&stuck, 0).unwrap();
+    let address = stuck.local_addr().unwrap();
+    let full: Vec<_> = (0..4).map(|_| TcpStream::connect_timeout(&address, millis(50))).collect();
+    let gateway = Gateway::with(&[address], |config| {
+        config["settings"]["Limits"]["ConnectTimeoutS"] = json!(20.0);
+    });
+    let rid = |text: &str| text.split("rid=").nth(1).unwrap()[..16].to_owned();
+    let (out_of_time, killed) = (commented(300, "SELECT 1"), commented(8000, "SELECT 2"));
+    let mut waits = gateway.client();
+    waits.stream.write_all(&query_packet(&killed)).unwrap();
+    // It never ran, so trying again is harmless.
+    assert!(denied(&gateway.client().ask(&out_of_time).unwrap()));
+    let kill = format!("KILL QUERY {}", waits.connection);
+    assert_eq!(gateway.client().ask(&kill).unwrap(), Answer::Ok);
+    assert!(matches!(waits.answer().unwrap(), Answer::Error(1317, _)));
+    // From here on the engine takes connections; the machine tries those that wait for it again a second later.
+    drop(full);
+    rustix::net::listen(&stuck, 64).unwrap();
+    let (lines, comes) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for stream in stuck.incoming().flatten() {
+            let lines = lines.clone();
+            std::thread::spawn(move || {
+                let mut read = std::io::BufReader::new(stream);
+                let mut line = String::new();
+                while std::io::BufRead::read_line(&mut read, &mut line).is_ok_and(|read| read > 0) {
+                    let _ = lines.send(std::mem::take(&mut line));
+                }
+            });
+        }
+    });
+    sleep(millis(1300));
+    let last = commented(2500, "SELECT 3");
+    let mut client = gateway.client();
+    client.stream.write_all(&query_packet(&last)).unwrap();
+    let mut seen = Vec::new();
+    while !seen.iter().any(|line: &String| line.contains(&rid(&last))) {
+        seen.push(comes.recv_timeout(millis(5000)).expect("the last one comes"));
+    }
+    let over = [rid(&out_of_time), rid(&killed)];
+    assert!(!seen.iter().any(|line| over.iter().any(|rid| line.contains(rid))), "{seen:?}");
+    gateway.signal(Signal::TERM);
+    let (_, log) = gateway.end(millis(8000));
+    assert!(counter(&log, "relays_withdrawn") >= 2, "{log}");
+    add_up(&log);
+}
+
 #[test]
 fn a_client_that_breaks_off_is_owed_nothing() {
     let engine = engine(300);
