--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -3,11 +3,11 @@
 use std::ops::{Add, Sub};
 
 /// A point in time on the caller's clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Moment(i64);
 
 /// A length of time; negative ones arise only from subtraction.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span(i64);
 
 impl Moment {
@@ -195,6 +195,8 @@
     pub threads: f64,
     pub memory_mb: f64,
     pub rank: u8,
+    /// Of an engine that was left out: its outcome tells whether it stays so.
+    pub trial: bool,
     pub state: RelayState,
 }
 
@@ -324,6 +326,17 @@
     pub until: Moment,
 }
 
+/// What this gateway may still do of what all gateways together may; where nothing is told, nobody divides it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Allowed {
+    /// Further relays, by product.
+    pub relays: Vec<Option<f64>>,
+    /// Trials of engines that were left out.
+    pub trials: Option<f64>,
+    /// Its part of what a cold engine bears.
+    pub cold: Option<f64>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListAsk {
     Subscribe,
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -325,6 +325,7 @@
     /// Trials of benched engines, or a small gateway would spend its traffic on them.
     trials: Spent,
     listing: Listing,
+    allowed: Allowed,
     /// When the engine list was last asked for, and how soon it is again unless an answer comes.
     asked: (Option<Moment>, f64),
 }
@@ -358,6 +359,7 @@
             trials: Spent { terms: Ration { free: 1.0, share: 0.05, ..own }, slices: VecDeque::new() },
             rations: rations.map(|terms| Spent { terms, slices: VecDeque::new() }).collect(),
             listing,
+            allowed: Allowed::default(),
             asked: (None, 0.0),
             products,
             tenancy,
@@ -378,7 +380,7 @@
         let (_, spare) = self.spare(now, s, predicted);
         let hopeless = left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || spare < 0.0;
         let (hold, turn) = (product.hard_limit.secs() * HOLD, self.in_turn(now, s));
-        if hopeless || !s.relays.is_empty() && !self.may_relay_again(now) {
+        if hopeless || !s.relays.is_empty() && !self.may_relay_again(now, s.product) {
             return self.give_up(now, s);
         }
         if turn && let Some(id) = self.choose(now, s, place, predicted) {
@@ -678,12 +680,13 @@
         let best = median(self.engines.values().filter_map(|e| e.books.lag.best).collect());
         self.engines.values_mut().for_each(|e| e.books.lag.best = e.books.lag.best.or(best));
         self.whole.fill(now, 1.0, &self.demand);
+        let part = self.cold_part();
         for engine in self.engines.values_mut() {
             let gone = (now - engine.books.filled).secs().max(0.0);
             let warmth = warmth(self.cold, engine, now);
             engine.books.fill(now, warmth, &self.demand);
             let Some(cold) = self.cold else { continue };
-            let most = cold_budget(&engine.books, cold, warmth);
+            let most = cold_budget(&engine.books, cold, warmth) * part;
             engine.cold_left =
                 (engine.cold_left + 2.0 * most * gone / cold.window.secs().max(1e-3)).min(most);
         }
@@ -696,7 +699,7 @@
         let pays = product.gain / predicted >= self.price * 0.999;
         let listed = self.engines.values().filter(|e| e.fact.stage == Stage::Ready);
         let all: Vec<&Engine> = listed.filter(|e| allowed(product, s, &e.fact, now)).collect();
-        let trials = self.trials.room(now);
+        let trials = self.trials.room(now) && self.allowed.trials.is_none_or(|left| left >= 1.0);
         let back =
             |h: &Health| h.benched_until.is_none_or(|until| until <= now && h.trial.is_none() && trials);
         let mut fit: Vec<&Engine> = all.iter().copied().filter(|e| back(&e.health)).collect();
@@ -728,8 +731,8 @@
             let afford = if place.over_allowance && !calm { ample } else { enough };
             // A budget too small for one statement saves up for it, if all gateways' together would hold it.
             let most = self.cold.map_or(0.0, |cold| cold_budget(own, cold, warmth));
-            let cold_ok =
-                warmth >= 1.0 || usual <= most * self.fleet.peers && engine.cold_left >= usual.min(most);
+            let saved = engine.cold_left >= usual.min(most * self.cold_part());
+            let cold_ok = warmth >= 1.0 || usual <= most * self.fleet.peers && saved;
             // Spilling and paging are worse than holding here. Could harm where estimates are too high.
             let fits = own.held_mb + need <= own.memory_mb
                 || own.held_mb <= 0.3 * own.memory_mb && room
@@ -765,13 +768,17 @@
         let lag = engine.books.lag.now().unwrap_or(1.0);
         let due = now + Span::from_secs((4.0 * predicted * lag / threads + 0.5).min(pace));
         engine.health.due = Some(engine.health.due.map_or(due, |d| d.min(due)));
-        if engine.health.benched_until.is_some() {
+        let trial = engine.health.benched_until.is_some();
+        if trial {
             engine.health.trial = Some(s.id);
             self.trials.slice(now).2 += 1.0;
+            self.allowed.trials.iter_mut().for_each(|left| *left -= 1.0);
         }
         let fact = engine.fact;
         let again = if s.relays.is_empty() { 0.0 } else { 1.0 };
         self.rations.iter_mut().for_each(|spent| spent.slice(now).2 += again);
+        let left = self.allowed.relays.get_mut(s.product.0);
+        left.into_iter().flatten().for_each(|left| *left -= again);
         self.turn(s).into_iter().for_each(|turn| turn.out = Some(s.id));
         let relay = Relay {
             engine: id,
@@ -782,6 +789,7 @@
             threads,
             memory_mb: need,
             rank,
+            trial,
             state: RelayState::Out,
         };
         Answer::Send { relay, limit: None, rank: self.fleet.ranks_heeded.then_some(rank) }
@@ -817,7 +825,7 @@
         let total = elapsed / done.clamp(0.001, 1.0);
         let pays = total - elapsed > 2.0 * fresh && fresh * 1.3 < left && total > 3.5 * fresh;
         let repeatable = product.effect == Effect::Idempotent && s.relays.len() < self.relaying.most;
-        let cancel = self.relaying.cancel && repeatable && pays && self.may_relay_again(now);
+        let cancel = self.relaying.cancel && repeatable && pays && self.may_relay_again(now, s.product);
         if cancel { After::Cancel(o.relay) } else { After::Stay }
     }
 
@@ -869,8 +877,19 @@
         rested && turn.out.is_none() && turn.line.front().is_none_or(|id| *id == s.id)
     }
 
-    fn may_relay_again(&mut self, now: Moment) -> bool {
-        self.rations.iter_mut().all(|spent| spent.room(now))
+    fn may_relay_again(&mut self, now: Moment, product: ProductId) -> bool {
+        let left = self.allowed.relays.get(product.0).copied().flatten();
+        left.is_none_or(|left| left >= 1.0) && self.rations.iter_mut().all(|spent| spent.room(now))
+    }
+
+    /// In parts of 1/peers, which its books are cut by.
+    fn cold_part(&self) -> f64 {
+        self.allowed.cold.map_or(1.0, |part| part * self.fleet.peers)
+    }
+
+    /// Holds until it is told anew; what is sent meanwhile is taken off.
+    pub fn told_allowed(&mut self, allowed: Allowed) {
+        self.allowed = allowed;
     }
 
     /// Spread by chance, or every gateway that lost its subscription would ask in the same instant.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -33,6 +33,10 @@
     pub rank_changed: bool,
     /// The CPU it is charged until its outcome tells.
     pub charge: Span,
+    /// The statement was relayed before.
+    pub again: bool,
+    /// To an engine that was left out.
+    pub trial: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -279,6 +283,11 @@
         self.policy.told_doubts(now, doubts);
     }
 
+    /// What this gateway may still do of what all together may.
+    pub fn told_allowed(&mut self, allowed: Allowed) {
+        self.policy.told_allowed(allowed);
+    }
+
     /// How each engine stands.
     pub fn health(&self) -> impl Iterator<Item = EngineHealth> {
         self.policy.health()
@@ -317,13 +326,24 @@
         let pick = match answer {
             Answer::Send { relay, limit, rank } => {
                 let number = RelayNo(in_hand.statement.relays.len() as u16);
+                let (again, trial) = (!in_hand.statement.relays.is_empty(), relay.trial);
                 let rank_changed = rank.is_some() && rank != in_hand.rank;
                 in_hand.rank = rank.or(in_hand.rank);
                 in_hand.statement.relays.push(relay);
                 let hard_limit = in_hand.statement.hard_limit;
                 let due = limit.map_or(hard_limit, |limit| hard_limit.min(now + limit));
                 let (engine, charge, relay) = (relay.engine, relay.charge, number);
-                return Pick::Relay(Order { relay, engine, limit, due, rank, rank_changed, charge });
+                return Pick::Relay(Order {
+                    relay,
+                    engine,
+                    limit,
+                    due,
+                    rank,
+                    rank_changed,
+                    charge,
+                    again,
+                    trial,
+                });
             }
             Answer::Deny { come_back } => Pick::Deny { come_back },
             Answer::Scrap | Answer::NotYet(_) => Pick::Scrap,
--- a/crates/fleet/src/gateway.rs
+++ b/crates/fleet/src/gateway.rs
@@ -35,6 +35,9 @@
 const GIVE_WAY_S: f64 = 30.0;
 /// Letters that wait to be sent, events and helpings at most.
 const HELPS: usize = 16;
+/// Carried words that wait to be taken, and the longest: beside it a letter has room for its sender and a refutation.
+const CARRIED: usize = 256;
+pub const LONGEST_CARRIED: usize = 850;
 /// Gateways that are told by itself that this one goes.
 const GOODBYES: usize = 64;
 const EVENTS: usize = 256;
@@ -150,6 +153,7 @@
     settled: bool,
     out_until: Option<Moment>,
     met: bool,
+    carried: Vec<(Name, Life, Vec<u8>)>,
     out: Vec<Datagram>,
     events: Vec<Event>,
     pub tally: Tally,
@@ -205,6 +209,7 @@
             settled: false,
             out_until: None,
             met: false,
+            carried: Vec::new(),
             out: Vec::new(),
             events: Vec::new(),
             tally: Tally::default(),
@@ -230,6 +235,22 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Carries words to another gateway of the fleet. False: it is not held to be there, or they are too long.
+    pub fn carry(&mut self, now: Moment, to: &Name, words: Vec<u8>) -> bool {
+        let there = self.table.get(to).filter(|held| held.counts()).map(|held| held.record.address);
+        let Some(address) = there.filter(|_| words.len() <= LONGEST_CARRIED && self.out_until.is_none())
+        else {
+            return false;
+        };
+        self.send(now, address, Some(to), Body::Carried(words), Vec::new());
+        true
+    }
+
+    /// Words that came for another subsystem, each from a gateway that is known in this life at its own address.
+    pub fn take_carried(&mut self) -> Vec<(Name, Life, Vec<u8>)> {
+        std::mem::take(&mut self.carried)
+    }
+
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
     }
@@ -474,6 +495,15 @@
             // A newcomer may not be known yet and still holds an old word of this gateway: saying more costs nothing.
             self.of_me(now, &of_me);
         }
+        if let Body::Carried(words) = body {
+            let same =
+                |held: &Held| held.counts() && held.record.life == from.life && held.record.address == src;
+            if !self.table.get(&from.name).is_some_and(same) || self.carried.len() >= CARRIED {
+                return Err(Refused::Many);
+            }
+            self.carried.push((from.name, from.life, words));
+            return Ok(());
+        }
         self.reply(now, src, &from, body);
         Ok(())
     }
--- a/crates/fleet/src/letter.rs
+++ b/crates/fleet/src/letter.rs
@@ -68,6 +68,8 @@
     },
     /// Only what goes along.
     News,
+    /// Words of another subsystem, to be carried.
+    Carried(Vec<u8>),
 }
 
 /// A view of the fleet in short: two that agree hold the same gateways in the same lives.
--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -62,6 +62,11 @@
         session: u32,
         text: Bytes,
     },
+    /// Budgets of all gateways.
+    Shares {
+        session: u32,
+        text: Bytes,
+    },
     Kill {
         by: u32,
         session: u32,
@@ -424,6 +429,10 @@
                     session.asked = true;
                     self.news.push(News::Fleet { session: id, text: Bytes::copy_from_slice(text) });
                 }
+                Query::Shares => {
+                    session.asked = true;
+                    self.news.push(News::Shares { session: id, text: Bytes::copy_from_slice(text) });
+                }
                 Query::Queue(rid) => {
                     session.asked = true;
                     let (text, id_of) = (Bytes::copy_from_slice(text), rid.map(String::from));
--- a/crates/gateway/src/clients/packets.rs
+++ b/crates/gateway/src/clients/packets.rs
@@ -278,6 +278,8 @@
     Queue(Option<&'a str>),
     /// The other gateways.
     Fleet,
+    /// Budgets of all gateways.
+    Shares,
     /// Of an ordinary client's set-up: `SET` and the like.
     Fine,
     /// `SELECT @@name`, with its name.
@@ -299,6 +301,9 @@
     if is(first, "show") && is(second, "fleet") && third.is_empty() {
         return Query::Fleet;
     }
+    if is(first, "show") && is(second, "shares") && third.is_empty() {
+        return Query::Shares;
+    }
     if is(first, "show") && is(second, "queue") {
         let id = more.strip_prefix('\'').and_then(|id| id.strip_suffix('\''));
         match id {
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -21,6 +21,12 @@
         Moment::from_secs((self.unix + self.at.elapsed()).as_secs_f64())
     }
 
+    /// A clock of this machine that nobody sets, and that runs on while the machine sleeps: what was leased ends by it.
+    pub fn steady(&self) -> Moment {
+        let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Moment::from_secs(now.tv_sec as f64 + now.tv_nsec as f64 / 1e9)
+    }
+
     /// The same point on the monotonic clock; the past counts as now.
     pub fn instant(&self, moment: Moment) -> Instant {
         let left = (moment - self.now()).secs().max(0.0);
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -67,6 +67,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Asks a running gateway what it holds of the budgets of all, and the steward who holds how much.
+    Shares {
+        address: SocketAddr,
+        #[arg(long)]
+        json: bool,
+    },
     /// The folder of the fleet's keys.
     #[command(subcommand)]
     FleetKeys(FleetKeys),
@@ -113,6 +119,7 @@
             queue(address, member.as_deref(), rid.as_deref(), json)
         }
         Command::Fleet { address, json } => fleet(address, json),
+        Command::Shares { address, json } => shares(address, json),
         Command::FleetKeys(command) => fleet_keys(command),
         Command::Keys(command) => credentials::keys(command),
         Command::Token(command) => credentials::token(command),
@@ -168,6 +175,20 @@
             paces.voices()
         );
     }
+    if let Some(terms) = &operated.shares {
+        let voters: Vec<&str> = terms.voters.iter().map(|name| name.as_str()).collect();
+        println!(
+            "{file}: budgets are divided among {} gateways at most; voters {}; leases {} s, terms {} s",
+            terms.most,
+            voters.join(", "),
+            terms.lease.secs(),
+            terms.term.secs()
+        );
+        for budget in &terms.budgets {
+            let (name, unit) = (budget.name(), budget.unit());
+            println!("  {name:<24} whole {} {unit}, floor of each {}", budget.whole, budget.floor);
+        }
+    }
     let Some(terms) = operated.queues else {
         println!("{file}: queues are off");
         return Ok(());
@@ -210,6 +231,15 @@
     table(&status::FLEET, &rows, as_json)
 }
 
+fn shares(address: SocketAddr, as_json: bool) -> Done {
+    let rows = match Client::login(address)?.ask("SHOW SHARES")? {
+        Answer::Rows(rows) => rows,
+        Answer::Error(..) => return Err(format!("{address} divides no budgets: its shares are off").into()),
+        other => return Err(format!("{address} answered {other:?}").into()),
+    };
+    table(&status::SHARES, &rows, as_json)
+}
+
 fn fleet_keys(command: FleetKeys) -> Done {
     use crate::fleet::files;
     match command {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -30,6 +30,8 @@
     Operator(#[from] OperatorError),
     #[error("{0}: queues.member.{1}: the configuration knows no such member")]
     Member(String, String),
+    #[error("{0}: shares.relays_per_s.{1}: the configuration knows no such product")]
+    Product(String, String),
     #[error("{0}: fleet.name: the configuration's name cannot be taken: {1}")]
     Name(String, ::fleet::who::NoName),
 }
@@ -42,6 +44,8 @@
     pub queues: Option<Terms>,
     /// Files and terms by which callers are known; nothing where they are not.
     pub callers: Option<Callers>,
+    /// Budgets that are divided among all gateways; nothing where they are not.
+    pub shares: Option<::shares::Terms>,
     /// How gateways know each other, and this one's name; nothing where they don't.
     pub fleet: Option<(Name, FleetTerms)>,
 }
@@ -60,15 +64,36 @@
                 return Err(ConfigError::Member(path.display().to_string(), member.name.clone()));
             }
         }
-        let part = 1.0 / config.settings.peers()?;
+        // Divided among all, a budget is whole here: what of it is this gateway's is told as it changes.
+        let divided = |of: &::shares::Use| matches!(of, ::shares::Use::Member(_));
+        let divided =
+            operator.shares.as_ref().is_some_and(|terms| terms.budgets.iter().any(|b| divided(&b.of)));
+        let part = if divided { 1.0 } else { 1.0 / config.settings.peers()? };
         let queues = operator.queues.map(|terms| terms.part(part));
+        let products = config.settings.product_names()?;
+        let of = operator.shares.iter().flat_map(|terms| &terms.budgets);
+        let unknown = of.filter_map(|budget| match &budget.of {
+            ::shares::Use::Relays(product) if !products.contains(product) => Some(product.clone()),
+            _ => None,
+        });
+        if let Some(product) = unknown.into_iter().next() {
+            return Err(ConfigError::Product(path.display().to_string(), product));
+        }
         let named = |terms: FleetTerms| {
             let own =
                 || Name::new(&config.name).map_err(|e| ConfigError::Name(path.display().to_string(), e));
             Ok::<_, ConfigError>((terms.name.clone().map_or_else(own, Ok)?, terms))
         };
         let fleet = operator.fleet.map(named).transpose()?;
-        Ok(Operated { file: Some(path), queues, callers: operator.identity, fleet })
+        Ok(Operated { file: Some(path), queues, callers: operator.identity, fleet, shares: operator.shares })
+    }
+}
+
+impl Operated {
+    /// Members of the lines, in their order.
+    pub fn member_names(&self) -> Vec<String> {
+        let members = self.queues.iter().flat_map(|terms| &terms.members);
+        members.map(|member| member.name.clone()).collect()
     }
 }
 
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! means is decided in `crates/fleet`.
 
 pub mod files;
+pub mod parts;
 
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
@@ -19,6 +20,7 @@
 use crate::board::list::Names;
 use crate::socket::{Loop, Peer, Ready};
 use files::FleetKeysError;
+use parts::Parts;
 
 /// Datagrams read in one turn: a flood takes no more of it than checking so many codes.
 const READS: usize = 64;
@@ -46,10 +48,14 @@
     look_at: Moment,
     /// Benches of this gateway's own that were told, and until when; leaves as they end.
     told: BTreeMap<EngineId, Moment>,
+    /// Where budgets are divided among all.
+    parts: Option<Parts>,
     lines: (Moment, f64),
     pub unlogged: u64,
     /// Datagrams that the machine would not take.
     pub unsent: u64,
+    /// Words of budgets for gateways that are not held to be there.
+    pub uncarried: u64,
 }
 
 impl Fleet {
@@ -95,9 +101,11 @@
             unread: true,
             look_at: now,
             told: BTreeMap::new(),
+            parts: None,
             lines: (now, LINES_PER_S),
             unlogged: 0,
             unsent: 0,
+            uncarried: 0,
         })
     }
 
@@ -124,7 +132,11 @@
     }
 
     pub fn next_due(&self, now: Moment) -> Moment {
-        if self.unread { now } else { self.gateway.due().min(self.look_at) }
+        if self.unread {
+            return now;
+        }
+        let parts = self.parts.as_ref().map(|parts| parts.due(now));
+        parts.into_iter().fold(self.gateway.due().min(self.look_at), Moment::min)
     }
 
     /// Reads what came, does what is due, sends what follows.
@@ -147,10 +159,32 @@
         if self.gateway.due() <= now && !self.unread {
             self.gateway.turn(now);
         }
+        self.divide(now);
         self.flush();
         self.log(now);
     }
 
+    /// Words of budgets, both ways.
+    fn divide(&mut self, now: Moment) {
+        let carried = self.gateway.take_carried();
+        let Some(parts) = &mut self.parts else { return };
+        for (name, life, words) in carried {
+            parts.receive(&::shares::Who { name, life }, &words);
+        }
+        for (to, words) in parts.turn() {
+            self.uncarried += u64::from(!self.gateway.carry(now, &to, words));
+        }
+    }
+
+    /// Budgets are divided among all from now on.
+    pub fn join(&mut self, parts: Parts) {
+        self.parts = Some(parts);
+    }
+
+    pub fn parts(&mut self) -> Option<&mut Parts> {
+        self.parts.as_mut()
+    }
+
     fn flush(&mut self) {
         for datagram in self.gateway.take_out() {
             let sent = self.socket.send_to(&datagram.bytes, datagram.to);
@@ -193,6 +227,10 @@
 
     /// Others are told that it goes; they suspect nothing.
     pub fn leave(&mut self, now: Moment) {
+        let given_back = self.parts.as_mut().map(Parts::leave).unwrap_or_default();
+        for (to, words) in given_back {
+            self.gateway.carry(now, &to, words);
+        }
         self.gateway.leave(now);
         self.flush();
     }
@@ -211,6 +249,8 @@
             self.unsent,
             self.gateway.size()
         );
+        text += &self.parts.as_mut().map(Parts::counters).unwrap_or_default();
+        text += &format!("fleet_uncarried={} ", self.uncarried);
         text += &format!(
             "fleet_table={} fleet_standing={} ",
             self.gateway.table_len(),
--- /dev/null
+++ b/crates/gateway/src/fleet/parts.rs
@@ -0,0 +1,238 @@
+//! This gateway's part of the budgets of all: words by the fleet's datagrams, what the decisions may do told as plain
+//! values, and spending counted where it happens.
+
+use ::fleet::{Life, Name};
+use ::shares::{Event, Refused, Shares, Terms, Use, Who};
+use admission::interface::*;
+use tracing::{info, warn};
+
+use crate::clock::Clock;
+
+/// What the lines spend and want of a member's budget, in predicted CPU seconds since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Flow {
+    pub wanted: f64,
+    pub paid: f64,
+}
+
+pub struct Parts {
+    shares: Shares,
+    clock: Clock,
+    /// Places of budgets: further relays by product, members by their place in the lines.
+    relays: Vec<Option<usize>>,
+    members: Vec<Option<usize>>,
+    trials: Option<usize>,
+    cold: Option<usize>,
+    flows: Vec<Flow>,
+    products: Vec<String>,
+    names: Vec<String>,
+    /// Relays taken back at the last look, for want of a share.
+    pub short: u64,
+}
+
+impl Parts {
+    /// `members`: as the lines number them.
+    pub fn new(
+        clock: Clock,
+        name: Name,
+        life: Life,
+        terms: Terms,
+        products: &[String],
+        members: &[String],
+        seed: u64,
+    ) -> Self {
+        let now = clock.steady();
+        let shares = Shares::new(now, Who { name, life }, terms, seed);
+        let mut parts = Parts {
+            shares,
+            clock,
+            relays: Vec::new(),
+            members: Vec::new(),
+            trials: None,
+            cold: None,
+            flows: vec![Flow::default(); members.len()],
+            products: products.to_vec(),
+            names: members.to_vec(),
+            short: 0,
+        };
+        parts.place();
+        parts
+    }
+
+    fn place(&mut self) {
+        let find = |of: Use| self.shares.find(&of);
+        self.relays = self.products.iter().map(|product| find(Use::Relays(product.clone()))).collect();
+        self.members = self.names.iter().map(|member| find(Use::Member(member.clone()))).collect();
+        (self.trials, self.cold) = (find(Use::Trials), find(Use::Cold));
+    }
+
+    /// When something is due, on the loop's clock.
+    pub fn due(&self, now: Moment) -> Moment {
+        now + (self.shares.due() - self.clock.steady()).max(Span::ZERO)
+    }
+
+    pub fn receive(&mut self, from: &Who, bytes: &[u8]) {
+        let steady = self.clock.steady();
+        self.shares.receive(steady, from, bytes);
+    }
+
+    /// Does what is due, and gives out what is to be sent.
+    pub fn turn(&mut self) -> Vec<(Name, Vec<u8>)> {
+        let steady = self.clock.steady();
+        if self.shares.due() <= steady {
+            self.shares.turn(steady);
+        }
+        self.log();
+        self.out()
+    }
+
+    fn out(&mut self) -> Vec<(Name, Vec<u8>)> {
+        self.shares.take_out().into_iter().map(|letter| (letter.to, letter.word.bytes())).collect()
+    }
+
+    pub fn leave(&mut self) -> Vec<(Name, Vec<u8>)> {
+        let steady = self.clock.steady();
+        self.shares.leave(steady);
+        self.out()
+    }
+
+    /// Other budgets, and members as the lines now number them. What else differs waits for a restart; it is named.
+    pub fn change(&mut self, terms: Terms, members: &[String]) -> Vec<&'static str> {
+        let old = self.shares.core().terms();
+        let same = [
+            ("voters", old.voters == terms.voters),
+            ("most_gateways", old.most == terms.most),
+            ("lease_ms", old.lease == terms.lease),
+            ("term_ms", old.term == terms.term),
+            ("drift", old.drift_ppm == terms.drift_ppm),
+        ];
+        let kept = same.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect();
+        let steady = self.clock.steady();
+        self.shares.change(steady, terms);
+        let flow = |name: &String| {
+            let was = self.names.iter().position(|was| was == name);
+            was.map_or(Flow::default(), |was| self.flows[was])
+        };
+        self.flows = members.iter().map(flow).collect();
+        self.names = members.to_vec();
+        self.place();
+        kept
+    }
+
+    /// What the decisions may do until they are told anew. `carries`: this gateway's traffic, in shares of one.
+    pub fn allowed(&mut self, carries: f64, peers: f64, benched: usize) -> Allowed {
+        let steady = self.clock.steady();
+        let left = |shares: &mut Shares, at: usize| shares.left(steady, at);
+        let relays = self.relays.iter().map(|at| at.map(|at| left(&mut self.shares, at))).collect::<Vec<_>>();
+        let trials = self.trials.map(|at| {
+            self.shares.needs_at(steady, at, benched as f64);
+            left(&mut self.shares, at)
+        });
+        let cold = self.cold.map(|at| {
+            // As much of every cold engine as it has of the traffic.
+            self.shares.needs_at(steady, at, (carries / peers).min(1.0));
+            self.shares.rate(steady, at)
+        });
+        Allowed { relays, trials, cold }
+    }
+
+    /// A relay that is to go: further ones and trials are paid for here, by the clock as it is now. False: what the
+    /// decisions were told is over by now.
+    pub fn spend(&mut self, product: usize, again: bool, trial: bool) -> bool {
+        let steady = self.clock.steady();
+        let relay = self.relays.get(product).copied().flatten().filter(|_| again);
+        let uses = relay.into_iter().chain(self.trials.filter(|_| trial));
+        let uses: Vec<usize> = uses.collect();
+        let there = uses.iter().all(|at| self.shares.room(steady, *at, 1.0));
+        if there {
+            uses.into_iter().for_each(|at| self.shares.spent(steady, at, 1.0));
+        } else {
+            self.short += 1;
+        }
+        there
+    }
+
+    /// A relay failed: one more is wanted, whether or not it can be had.
+    pub fn wants_relay(&mut self, product: usize) {
+        let steady = self.clock.steady();
+        if let Some(at) = self.relays.get(product).copied().flatten() {
+            self.shares.wants(steady, at, 1.0);
+        }
+    }
+
+    /// Takes in what the lines spent and wanted since the last look, and gives each member's rate; none where its budget
+    /// is not divided here.
+    pub fn members(&mut self, flows: &[Flow]) -> Vec<Option<f64>> {
+        let steady = self.clock.steady();
+        let mut rates = Vec::with_capacity(self.members.len());
+        for (member, at) in self.members.clone().into_iter().enumerate() {
+            let Some(at) = at else {
+                rates.push(None);
+                continue;
+            };
+            let flow = flows.get(member).copied().unwrap_or_default();
+            let before = std::mem::replace(&mut self.flows[member], flow);
+            self.shares.wants(steady, at, flow.wanted - before.wanted);
+            self.shares.spent(steady, at, flow.paid - before.paid);
+            rates.push(Some(self.shares.rate(steady, at)));
+        }
+        rates
+    }
+
+    pub fn divides_members(&self) -> bool {
+        self.members.iter().any(Option::is_some)
+    }
+
+    pub fn status(&mut self) -> (Moment, ::shares::Status) {
+        let steady = self.clock.steady();
+        (steady, self.shares.status(steady))
+    }
+
+    /// As the other counters are printed.
+    pub fn counters(&mut self) -> String {
+        let (_, status) = self.status();
+        let mut text = format!(
+            "shares_sent={} shares_taken={} shares_short={} shares_steward={} ",
+            self.shares.sent,
+            self.shares.taken,
+            self.short,
+            u8::from(status.is_steward)
+        );
+        for (why, name) in [
+            (Refused::Form, "form"),
+            (Refused::NoVoter, "no_voter"),
+            (Refused::Unasked, "unasked"),
+            (Refused::Old, "old"),
+            (Refused::Many, "many"),
+            (Refused::Beyond, "beyond"),
+        ] {
+            let count = self.shares.refused.get(&why).copied().unwrap_or(0);
+            text += &format!("shares_refused_{name}={count} ");
+        }
+        for line in &status.lines {
+            let name = line.budget.replace(['.', '-'], "_");
+            text += &format!(
+                "shares_{name}_spent_milli={} shares_{name}_allowed_milli={} shares_{name}_refused={} ",
+                (line.spent * 1e3) as i64,
+                (line.allowed * 1e3) as i64,
+                line.refused
+            );
+        }
+        text
+    }
+
+    fn log(&mut self) {
+        for event in self.shares.take_events() {
+            match event {
+                Event::Chosen(number) => info!(number, "shares: this gateway is steward"),
+                Event::Over => warn!("shares: this gateway is steward no more"),
+                Event::Leased(by) => info!(steward = %by, "shares: leased"),
+                Event::Floors => warn!("shares: the lease is over and not renewed; floors alone"),
+                Event::Differ(of) => {
+                    let of: Vec<String> = of.iter().map(|(who, budget)| format!("{who}: {budget}")).collect();
+                    warn!(of = of.join(", "), "shares: files differ; the smaller whole of a voter counts");
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Operated};
 use crate::engines::Engines;
+use crate::fleet::parts::Parts;
 use crate::fleet::{Fleet, FleetError};
 use crate::keywatch::{self, Known, WatchError};
 use crate::service::Service;
@@ -148,7 +149,16 @@
             handle.insert_source(keywatch::watch(callers.clone()), note).map_err(|e| e.error)?;
         }
         if let Some((name, terms)) = &operated.fleet {
-            service.join(Fleet::start(now, &handle, terms, name, config.seed)?);
+            let mut fleet = Fleet::start(now, &handle, terms, name, config.seed)?;
+            if let Some(terms) = &operated.shares {
+                let products = config.settings.product_names()?;
+                let (own, members) = (fleet.gateway().own().clone(), operated.member_names());
+                let terms = terms.clone();
+                let parts = Parts::new(clock, own.name, own.life, terms, &products, &members, config.seed);
+                fleet.join(parts);
+                info!("budgets are divided among all gateways");
+            }
+            service.join(fleet);
         }
         info!(name = config.name, "starting");
         Ok(Lifecycle {
@@ -351,6 +361,7 @@
             }
             Ok(operated) => {
                 self.reload_fleet(&operated);
+                self.reload_shares(&operated);
                 self.reload_queues(now, operated);
             }
         }
@@ -370,6 +381,20 @@
         }
     }
 
+    /// Budgets by their names; how long leases last, who votes and how many may run wait for a restart of all.
+    fn reload_shares(&mut self, operated: &Operated) {
+        let members = operated.member_names();
+        match (self.service.fleet().and_then(Fleet::parts), &operated.shares) {
+            (Some(parts), Some(terms)) => {
+                let kept = parts.change(terms.clone(), &members);
+                info!(?kept, budgets = terms.budgets.len(), "shares: new budgets");
+                self.operated.shares = operated.shares.clone();
+            }
+            (None, None) => {}
+            _ => warn!("budgets are divided or not from the start on; they stay as they were"),
+        }
+    }
+
     fn reload_queues(&mut self, now: Moment, operated: Operated) {
         match (&self.operated.queues, &operated.queues) {
             (Some(old), Some(new)) if old != new => {
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -24,6 +24,7 @@
 use crate::engines::lines::Rid;
 use crate::engines::{Engines, Outgoing, Report};
 use crate::fleet::Fleet;
+use crate::fleet::parts::Flow;
 use crate::status;
 
 /// Network fact: an answer must be with the client before its budget ends, and the budget runs from when the
@@ -74,6 +75,7 @@
     /// Statements open by caller; leaves with the last of them.
     open: BTreeMap<String, u32>,
     names: Names,
+    peers: f64,
     products: Vec<String>,
     tenants: Vec<String>,
     bills: bool,
@@ -140,6 +142,7 @@
             guard: None,
             open: BTreeMap::new(),
             names: Names::new(settings.location_names(), settings.machine_names()),
+            peers: settings.peers()?,
             products: settings.product_names()?,
             tenants: settings.tenant_names()?,
             bills: settings.bills()?,
@@ -238,6 +241,7 @@
             let doubts = fleet.engines(now, self.hall.health(), &self.names);
             self.hall.told_doubts(now, &doubts);
         }
+        self.divided(now);
         let tick = self.hall.tick(now);
         tick.due.into_iter().for_each(|(id, pick)| self.picked(now, id, pick));
         // What could not even be sent is back in line by now, and what stood behind an answer was read.
@@ -254,6 +258,19 @@
         self.wake = now + if again { Span::ZERO } else { tick.wait };
     }
 
+    /// What of the budgets of all is this gateway's at present, for the lines and the decisions.
+    fn divided(&mut self, now: Moment) {
+        let Some(parts) = self.fleet.as_mut().and_then(Fleet::parts) else { return };
+        if parts.divides_members() {
+            let flows = self.hall.flows().into_iter().map(|(wanted, paid)| Flow { wanted, paid });
+            let rates = parts.members(&flows.collect::<Vec<_>>());
+            self.hall.lease(now, &rates);
+        }
+        let benched = self.hall.beliefs().filter(|held| held.2).count();
+        let allowed = parts.allowed(self.hall.carries(), self.peers, benched);
+        self.hall.told_allowed(allowed);
+    }
+
     /// Statements in flight as the decisions hold them, against what is out on the sockets. A difference would have
     /// them send to the wrong engine for ever after, with nothing else to show it.
     fn compare(&mut self) {
@@ -311,6 +328,10 @@
         let still_out = matches!(news, News::Progress(_) | News::Strained | News::Streaming);
         passing.out.retain(|relay| still_out || *relay != report.relay);
         let completed = matches!(news, News::Completed { .. });
+        let failed = !still_out && !completed && news != News::Cancelled && !passing.answered;
+        if let Some(parts) = self.fleet.as_mut().and_then(Fleet::parts).filter(|_| failed) {
+            parts.wants_relay(passing.product);
+        }
         if completed && !passing.answered {
             let pages = report.pages;
             self.counters.completed += 1;
@@ -334,6 +355,7 @@
             }
             clients::News::Queue { session, id, .. } => self.tell_queue(now, session, id),
             clients::News::Fleet { session, text } => self.tell_fleet(now, session, &text),
+            clients::News::Shares { session, text } => self.tell_shares(now, session, &text),
             clients::News::Left(id) => self.left(now, id),
             clients::News::Token { session, token, login } => self.judge(now, session, &token, login),
             clients::News::Kill { by, session, whole } => {
@@ -376,6 +398,16 @@
         self.clients.answer(now, session, &mut self.counters, table);
     }
 
+    fn tell_shares(&mut self, now: Moment, session: u32, text: &Bytes) {
+        let Some(parts) = self.fleet.as_mut().and_then(Fleet::parts) else {
+            return self.asked(now, session, text, IpAddr::from([0; 4]));
+        };
+        let (steady, status) = parts.status();
+        let rows = status::shares(steady, &status);
+        let table = |answer: Answer| answer.table(status::SHARES, &rows);
+        self.clients.answer(now, session, &mut self.counters, table);
+    }
+
     /// Callers are to be known from now on, by this.
     pub fn guard(&mut self, guard: Guard) {
         self.guard = Some(guard);
@@ -561,6 +593,12 @@
 
     fn relay(&mut self, now: Moment, id: StatementId, order: Order) {
         let Some(passing) = self.passing.get_mut(&id) else { return };
+        if let Some(parts) = self.fleet.as_mut().and_then(Fleet::parts)
+            && (order.again || order.trial)
+            && !parts.spend(passing.product, order.again, order.trial)
+        {
+            return self.unspent(now, id, order.relay);
+        }
         passing.out.push(order.relay);
         let outgoing = Outgoing {
             statement: id,
@@ -577,6 +615,15 @@
         passing.went_on.extend(went_on);
     }
 
+    /// The share that a relay was to go on ended before it went: back in line, as one that never left.
+    fn unspent(&mut self, now: Moment, id: StatementId, relay: RelayNo) {
+        match self.hall.report(now, id, relay, News::NeverSent, Span::ZERO, false) {
+            Verdict::Nothing | Verdict::Cancel(_) => {}
+            Verdict::Deny { come_back } => self.deny(now, id, come_back),
+            Verdict::Scrap => self.scrap(now, id),
+        }
+    }
+
     fn deny(&mut self, now: Moment, id: StatementId, come_back: Option<Span>) {
         self.counters.denied += 1;
         let text = denial(come_back);
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,6 +1,7 @@
 //! What waits, as rows: the same for the status query and for the command line that asks it.
 
 use ::fleet::{Gateway, Record};
+use ::shares::{Amount, Line, Status};
 use admission::interface::Moment;
 use queues::{DeskStatus, Estimate, StatementStatus};
 
@@ -100,3 +101,48 @@
         .map(|held| row(&held.record, held.known, held.since, String::new(), String::new(), String::new()));
     [own].into_iter().chain(others).collect()
 }
+
+/// Columns of `SHOW SHARES`: what this gateway holds of each budget; at the steward then what the others hold.
+pub const SHARES: [&str; 14] = [
+    "budget", "holder", "unit", "whole", "floor", "leased", "until_ms", "wanted", "spent", "allowed",
+    "refused", "steward", "term", "differs",
+];
+
+pub fn shares(now: Moment, of: &Status) -> Vec<[String; SHARES.len()]> {
+    let until = |until: Option<Moment>| until.map_or("-".to_owned(), |until| ms((until - now).secs()));
+    let none = || "-".to_owned();
+    let steward = of.steward.as_ref().map_or_else(none, ToString::to_string);
+    let term = of.number.map_or_else(none, |number| number.to_string());
+    let row = |line: &Line, holder: String, leased: Amount, ends, wanted: f64, own: [String; 3], differs| {
+        let [spent, allowed, refused] = own;
+        [
+            line.budget.clone(),
+            holder,
+            line.unit.to_owned(),
+            line.whole.to_string(),
+            line.floor.to_string(),
+            leased.to_string(),
+            until(ends),
+            format!("{wanted:.3}"),
+            spent,
+            allowed,
+            refused,
+            steward.clone(),
+            term.clone(),
+            differs,
+        ]
+    };
+    let own = of.lines.iter().map(|line| {
+        let spent = [format!("{:.3}", line.spent), format!("{:.3}", line.allowed), line.refused.to_string()];
+        row(line, of.me.to_string(), line.leased, line.until, line.wanted, spent, none())
+    });
+    let others = of.lines.iter().flat_map(|line| {
+        let others = line.holdings.iter().filter(|holding| holding.who.name != of.me);
+        others.map(|of| {
+            let differs = if of.differs { "yes" } else { "no" }.to_owned();
+            let (holder, needs) = (of.who.name.to_string(), of.need.units());
+            row(line, holder, of.reserved, of.until, needs, [none(), none(), none()], differs)
+        })
+    });
+    own.chain(others).collect()
+}
--- /dev/null
+++ b/crates/gateway/tests/shares.rs
@@ -0,0 +1,340 @@
+//! Several processes of the program with faults between them, and budgets that are divided among them: the hard cases by
+//! name. What was spent is counted where it arrives, at the engines, as well as by what each gateway says.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::{JoinHandle, sleep};
+use std::time::{Duration, Instant};
+
+use rig::fleet::{Fleet, Part, Wanted, name};
+use rustix::process::Signal;
+use toy::client::Client;
+use toy::engine::Mood;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_laurelhitch");
+const SOON: Duration = Duration::from_secs(40);
+const LEASE_MS: u64 = 2500;
+/// Further relays of points a second, for all together.
+const WHOLE: f64 = 6.0;
+const BURST_S: f64 = 1.0;
+const BUDGET: &str = "relays.point";
+
+fn block(gateways: usize, whole: f64) -> String {
+    format!(
+        "shares {{\n  voters = [\"g00\", \"g01\", \"g02\"]\n  most_gateways = {gateways}\n  lease_ms = {LEASE_MS}\n  term_ms = 1200\n  renew_ms = 250\n  drift = 0.01\n  burst_ms = {}\n  members = false\n  relays_per_s = {{ point = {whole} }}\n}}\n",
+        BURST_S * 1e3
+    )
+}
+
+/// So many, known to each other, with the whole out.
+fn divided(gateways: usize) -> Fleet {
+    let mut wanted = Wanted::new(PROGRAM, gateways);
+    wanted.further = block(gateways, WHOLE);
+    let fleet = Fleet::start(wanted, &[]).unwrap();
+    let all = fleet.everyone();
+    fleet.settled(SOON, &all).unwrap();
+    fleet.until_parts(SOON, &all, |parts| out(parts) > WHOLE * 0.99).unwrap();
+    fleet
+}
+
+fn may(part: &Part) -> f64 {
+    part.floor + part.leased
+}
+
+/// What these may spend of it together, as each said.
+fn out(parts: &[BTreeMap<String, Part>]) -> f64 {
+    parts.iter().map(|parts| may(&parts[BUDGET])).sum()
+}
+
+fn stewards(parts: &[BTreeMap<String, Part>]) -> usize {
+    parts.iter().filter(|parts| parts[BUDGET].is_steward).count()
+}
+
+fn steward(fleet: &Fleet) -> usize {
+    let is = |at: &usize| fleet.parts(*at).is_some_and(|parts| parts[BUDGET].is_steward);
+    fleet.everyone().into_iter().find(is).expect("one of them is")
+}
+
+/// Clients of these gateways whose statements fail at every engine, so that each wants further relays; ended with it.
+struct Flood {
+    ends: Arc<AtomicBool>,
+    asked: Arc<AtomicU64>,
+    clients: Vec<JoinHandle<()>>,
+    began: Instant,
+    before: usize,
+}
+
+impl Flood {
+    fn at(fleet: &Fleet, of: &[usize]) -> Flood {
+        static RIDS: AtomicU64 = AtomicU64::new(1 << 40);
+        fleet.engines.iter().for_each(|engine| engine.set(Mood::Error));
+        let (ends, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+        let before = again(fleet);
+        let client = |at: &usize| {
+            let (listen, ends, asked) = (fleet.all[*at].listen, ends.clone(), asked.clone());
+            std::thread::spawn(move || {
+                while !ends.load(Ordering::Relaxed) {
+                    let Ok(mut client) = Client::login(listen) else {
+                        sleep(Duration::from_millis(20));
+                        continue;
+                    };
+                    while !ends.load(Ordering::Relaxed) {
+                        let rid = RIDS.fetch_add(1, Ordering::Relaxed);
+                        let text = format!(
+                            "/* method=point,rid={rid:016x},budget=900,acct=water,est=2.0,mem=2 */ SELECT 1 FROM ledger_1.bills"
+                        );
+                        if client.ask(&text).is_err() {
+                            break;
+                        }
+                        asked.fetch_add(1, Ordering::Relaxed);
+                        sleep(Duration::from_millis(4));
+                    }
+                }
+            })
+        };
+        let clients = of.iter().map(client).collect();
+        Flood { ends, asked, clients, began: Instant::now(), before }
+    }
+
+    /// Ends it: further relays that came to the engines, seconds that it lasted, statements asked.
+    fn end(self, fleet: &Fleet) -> (usize, f64, u64) {
+        self.ends.store(true, Ordering::Relaxed);
+        self.clients.into_iter().for_each(|client| client.join().unwrap());
+        let lasted = self.began.elapsed().as_secs_f64();
+        (again(fleet) - self.before, lasted, self.asked.load(Ordering::Relaxed))
+    }
+}
+
+/// Relays at all engines beyond the first of each statement.
+fn again(fleet: &Fleet) -> usize {
+    let mut seen = BTreeSet::new();
+    let lines = fleet.engines.iter().flat_map(|engine| engine.lines());
+    let relays = lines.filter_map(|line| line.strip_prefix("do ").map(|rest| rest[..16].to_owned()));
+    relays.filter(|rid| !seen.insert(rid.clone())).count()
+}
+
+/// Never more than the whole and what it saves up came to the engines, and one that each gateway may owe.
+fn held(fleet: &Fleet, spent: (usize, f64, u64), whole: f64) {
+    let (again, lasted, asked) = spent;
+    let most = whole * (lasted + BURST_S) + fleet.all.len() as f64;
+    assert!(
+        (again as f64) <= most,
+        "{again} further relays of {asked} statements in {lasted:.1} s, {most:.1} allowed"
+    );
+}
+
+#[test]
+fn five_under_a_flood_send_no_more_further_relays_than_all_may() {
+    let fleet = divided(5);
+    let flood = Flood::at(&fleet, &[0, 1, 2, 3, 4]);
+    sleep(Duration::from_secs(8));
+    let spent = flood.end(&fleet);
+    held(&fleet, spent, WHOLE);
+    // It is used, too: the flood wants far more.
+    assert!(spent.0 as f64 > WHOLE * spent.1 * 0.5 && spent.2 > 500, "{spent:?}");
+    let said: f64 = fleet.everyone().into_iter().map(|at| fleet.parts(at).unwrap()[BUDGET].spent).sum();
+    assert!((said - spent.0 as f64).abs() <= 5.0, "{said} said, {} arrived", spent.0);
+}
+
+#[test]
+fn nine_tenths_at_one_and_then_at_another_follow_the_work() {
+    let fleet = divided(4);
+    let all = fleet.everyone();
+    for hot in [1, 3] {
+        let flood = Flood::at(&fleet, &[hot, hot, hot]);
+        let most = |parts: &[BTreeMap<String, Part>]| may(&parts[hot][BUDGET]) > WHOLE * 0.7;
+        fleet.until_parts(SOON, &all, most).unwrap();
+        held(&fleet, flood.end(&fleet), WHOLE);
+    }
+}
+
+#[test]
+fn a_partition_with_the_steward_on_either_side_spends_no_more() {
+    let fleet = divided(5);
+    for round in 0..2 {
+        let flood = Flood::at(&fleet, &[0, 1, 2, 3, 4]);
+        let first = steward(&fleet);
+        // The steward with one other that is no voter; then with all voters but one.
+        let few: Vec<usize> = if round == 0 {
+            vec![first, 4]
+        } else {
+            (0..3).filter(|at| *at != first).take(1).chain([4]).collect()
+        };
+        let many: Vec<usize> = (0..5).filter(|at| !few.contains(at)).collect();
+        fleet.switch.faults(|faults| faults.partition(&[few.clone(), many.clone()]));
+        // The many have a steward among them, and all that the few do not keep as floors.
+        let floors = WHOLE * 0.2 / 5.0 * few.len() as f64;
+        let whole =
+            |parts: &[BTreeMap<String, Part>]| stewards(parts) == 1 && out(parts) > (WHOLE - floors) * 0.99;
+        fleet.until_parts(SOON, &many, whole).unwrap();
+        // The few have their floors, and serve.
+        fleet.until_parts(SOON, &few, |parts| parts.iter().all(|of| of[BUDGET].leased == 0.0)).unwrap();
+        fleet.switch.faults(rig::switch::Faults::heal);
+        fleet.until_parts(SOON, &fleet.everyone(), |parts| out(parts) > WHOLE * 0.99).unwrap();
+        held(&fleet, flood.end(&fleet), WHOLE);
+    }
+}
+
+#[test]
+fn a_steward_killed_is_followed_by_another_and_its_part_comes_back() {
+    let mut fleet = divided(5);
+    let flood = Flood::at(&fleet, &[0, 1, 2, 3, 4]);
+    let first = steward(&fleet);
+    fleet.kill(first);
+    let rest = fleet.everyone();
+    let floor = WHOLE * 0.2 / 5.0;
+    let back = |parts: &[BTreeMap<String, Part>]| stewards(parts) == 1 && out(parts) > (WHOLE - floor) * 0.99;
+    fleet.until_parts(SOON, &rest, back).unwrap();
+    // Killed again during the hand-over, and started anew without memory.
+    fleet.run(first).unwrap();
+    fleet.ready(first);
+    let second = steward(&fleet);
+    fleet.kill(second);
+    fleet.run(second).unwrap();
+    fleet.ready(second);
+    fleet
+        .until_parts(SOON, &fleet.everyone(), |parts| stewards(parts) == 1 && out(parts) > WHOLE * 0.99)
+        .unwrap();
+    held(&fleet, flood.end(&fleet), WHOLE);
+}
+
+#[test]
+fn a_steward_stopped_beyond_its_term_wakes_as_none() {
+    let fleet = divided(5);
+    let flood = Flood::at(&fleet, &[0, 1, 2, 3, 4]);
+    let first = steward(&fleet);
+    let rest: Vec<usize> = (0..5).filter(|at| *at != first).collect();
+    fleet.signal(first, Signal::STOP);
+    let other = |parts: &[BTreeMap<String, Part>]| stewards(parts) == 1;
+    fleet.until_parts(SOON, &rest, other).unwrap();
+    // Beyond its own lease, with questions waiting for it.
+    sleep(Duration::from_millis(LEASE_MS));
+    fleet.signal(first, Signal::CONT);
+    fleet
+        .until_parts(SOON, &fleet.everyone(), |parts| stewards(parts) == 1 && out(parts) > WHOLE * 0.99)
+        .unwrap();
+    let spent = flood.end(&fleet);
+    held(&fleet, spent, WHOLE);
+    let over = fleet
+        .lines(first)
+        .iter()
+        .any(|line| line.fields["message"] == "shares: this gateway is steward no more");
+    assert!(over, "{:?}", fleet.lines(first));
+}
+
+#[test]
+fn half_killed_under_a_flood_leave_the_whole_to_the_others_after_a_lease() {
+    let mut fleet = divided(6);
+    let flood = Flood::at(&fleet, &[0, 1, 2, 3, 4, 5]);
+    [2, 3, 5].into_iter().for_each(|at| fleet.kill(at));
+    let (rest, floors) = (fleet.everyone(), WHOLE * 0.2 / 6.0 * 3.0);
+    fleet.until_parts(SOON, &rest, |parts| out(parts) > (WHOLE - floors) * 0.99).unwrap();
+    held(&fleet, flood.end(&fleet), WHOLE);
+}
+
+#[test]
+fn one_that_leaves_gives_its_part_back_long_before_its_lease() {
+    let mut fleet = divided(4);
+    let flood = Flood::at(&fleet, &[3, 3, 0]);
+    let all = fleet.everyone();
+    fleet.until_parts(SOON, &all, |parts| may(&parts[3][BUDGET]) > WHOLE * 0.4).unwrap();
+    let (began, mut leased) = (Instant::now(), Duration::ZERO);
+    fleet.signal(3, Signal::TERM);
+    let floor = WHOLE * 0.2 / 4.0;
+    // A question that is out at the time is answered to nobody: its part is free a renewal later all the same.
+    leased += fleet.until_parts(SOON, &[0, 1, 2], |parts| out(parts) > (WHOLE - floor) * 0.99).unwrap();
+    assert!(leased <= began.elapsed());
+    assert!(leased < Duration::from_millis(LEASE_MS), "{leased:?}");
+    assert!(fleet.ended(3, Duration::from_secs(10)));
+    held(&fleet, flood.end(&fleet), WHOLE);
+}
+
+#[test]
+fn a_third_lost_and_all_repeated_late_spend_no_more() {
+    let fleet = divided(5);
+    fleet.switch.faults(|faults| {
+        (faults.lost, faults.repeated) = (1.0 / 3.0, 1.0);
+        faults.delay = (Duration::ZERO, Duration::from_millis(60));
+        faults.repeat_after = Duration::from_millis(700);
+    });
+    let flood = Flood::at(&fleet, &[0, 1, 2, 3, 4]);
+    sleep(Duration::from_secs(8));
+    held(&fleet, flood.end(&fleet), WHOLE);
+    fleet.switch.faults(|faults| *faults = rig::switch::Faults::none(5));
+    fleet
+        .until_parts(SOON, &fleet.everyone(), |parts| stewards(parts) == 1 && out(parts) > WHOLE * 0.99)
+        .unwrap();
+}
+
+#[test]
+fn a_whole_set_to_a_third_by_reloads_seconds_apart_is_told_and_holds() {
+    let mut fleet = divided(4);
+    let flood = Flood::at(&fleet, &[0, 1, 2, 3]);
+    let smaller = block(4, WHOLE / 3.0);
+    let first = steward(&fleet);
+    // The steward reads it last: whoever differs is named until then.
+    let order: Vec<usize> = (0..4).filter(|at| *at != first).chain([first]).collect();
+    for at in &order {
+        fleet.rewrite(&[*at], &smaller).unwrap();
+        sleep(Duration::from_millis(400));
+    }
+    fleet.until_parts(SOON, &order, |parts| (out(parts) - WHOLE / 3.0).abs() < 0.01).unwrap();
+    let _ = flood.end(&fleet);
+    let named = |line: &rig::fleet::Line| {
+        line.fields["message"] == "shares: files differ; the smaller whole of a voter counts"
+    };
+    assert!(fleet.lines(first).iter().any(named), "{:?}", fleet.lines(first));
+    // From here on, a lease after the last file, the third holds.
+    sleep(Duration::from_millis(LEASE_MS));
+    let flood = Flood::at(&fleet, &[0, 1, 2, 3]);
+    sleep(Duration::from_secs(5));
+    held(&fleet, flood.end(&fleet), WHOLE / 3.0);
+}
+
+#[test]
+fn members_budgets_come_from_the_ledger_and_sum_to_the_whole() {
+    let mut wanted = Wanted::new(PROGRAM, 3);
+    wanted.further = block(3, WHOLE).replace("members = false", "members = true")
+        + "queues {\n  default_member = \"water\"\n  member \"water\" { cpu_s_per_s = 9 }\n  member \"power\" { cpu_s_per_s = 3 }\n}\n";
+    let fleet = Fleet::start(wanted, &[]).unwrap();
+    let all = fleet.everyone();
+    fleet.settled(SOON, &all).unwrap();
+    let sum = |parts: &[BTreeMap<String, Part>], of: &str| -> f64 {
+        parts.iter().map(|parts| may(&parts[of])).sum()
+    };
+    let whole = |parts: &[BTreeMap<String, Part>]| {
+        (sum(parts, "member.water") - 9.0).abs() < 0.01 && (sum(parts, "member.power") - 3.0).abs() < 0.01
+    };
+    fleet.until_parts(SOON, &all, whole).unwrap();
+    // The lines go by what is held here, not by a guess of it.
+    let (mut lines, mut held) = (0.0, 0.0);
+    for at in &all {
+        let mut client = Client::login(fleet.all[*at].listen).unwrap();
+        let toy::client::Answer::Rows(rows) = client.ask("SHOW QUEUE").unwrap() else { panic!("rows") };
+        let water = rows.iter().find(|row| row[0] == "water").unwrap();
+        lines += water[4].parse::<f64>().unwrap();
+        held += may(&fleet.parts(*at).unwrap()["member.water"]);
+    }
+    assert!((lines - 9.0).abs() < 0.3 && (held - 9.0).abs() < 0.3, "{lines} in the lines, {held} held");
+}
+
+#[test]
+fn the_command_line_shows_who_holds_how_much_and_off_is_off() {
+    let fleet = divided(3);
+    let run = |arguments: &[&str]| Command::new(PROGRAM).args(arguments).output().unwrap();
+    let address = fleet.all[steward(&fleet)].listen.to_string();
+    let table = String::from_utf8(run(&["shares", &address]).stdout).unwrap();
+    assert!((0..3).all(|at| table.contains(&name(at))) && table.contains(BUDGET), "{table}");
+    let json: serde_json::Value =
+        serde_json::from_slice(&run(&["shares", &address, "--json"]).stdout).unwrap();
+    assert_eq!(json.as_array().unwrap().len(), 3);
+    let file = |ending: &str| fleet.folder().join(format!("g00.{ending}")).display().to_string();
+    let check = String::from_utf8(run(&["check", "--operator", &file("hcl"), &file("json")]).stdout).unwrap();
+    assert!(check.contains("among 3 gateways at most") && check.contains(BUDGET), "{check}");
+    let off = Fleet::start(Wanted::new(PROGRAM, 1), &[]).unwrap();
+    let said = run(&["shares", &off.all[0].listen.to_string()]);
+    assert!(!said.status.success());
+    assert!(String::from_utf8_lossy(&said.stderr).contains("its shares are off"));
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod figures;
 pub mod front;
 pub mod mesh;
+pub mod parts;
 pub mod play;
 pub mod plot;
 pub mod rules;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,9 +3,9 @@
 
 use clap::{Parser, Subcommand};
 use lab::front::Policy;
-use lab::mesh;
 use lab::play::{Outcome, Play};
 use lab::scenario::Scenario;
+use lab::{mesh, parts};
 
 /// Emulates a deployment in simulated time, around the real decisions.
 #[derive(Parser)]
@@ -54,6 +54,14 @@
         #[arg(long)]
         way: Option<String>,
     },
+    /// Budgets divided among gateways, beside even parts and each one's own guess: uneven, moving, cut off, killed,
+    /// restarted in turn, with a third of all words lost.
+    Shares {
+        #[arg(long, default_value = "3,20,100,300")]
+        gateways: String,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Plays it with two policies, over some seeds.
     Compare {
         file: PathBuf,
@@ -152,6 +160,22 @@
             }
             Ok(all)
         }
+        Command::Shares { gateways, seed } => {
+            println!("way     gateways  what          worst sum  worst second  in use  words a second each");
+            for count in gateways.split(',') {
+                let count: usize = count.trim().parse()?;
+                for (what, way) in
+                    parts::SITUATIONS.iter().flat_map(|what| parts::Way::ALL.map(|way| (*what, way)))
+                {
+                    let f = parts::measure(way, count, seed, what);
+                    println!(
+                        "{:<7} {:>8}  {:<12} {:>10.3} {:>13.3} {:>7.3} {:>8.2}",
+                        f.way, f.gateways, f.what, f.worst_sum, f.worst_second, f.in_use, f.words_s
+                    );
+                }
+            }
+            Ok(true)
+        }
         Command::Fleet { gateways, seed, way } => {
             println!(
                 "way         gateways joined s  detect s median 99th  settled s  false deaths an hour  healed s  datagrams, bytes a second  most"
--- a/crates/lab/src/mesh.rs
+++ b/crates/lab/src/mesh.rs
@@ -409,6 +409,11 @@
         self.slots[at].slow = by;
     }
 
+    /// It lives and does not stand still.
+    pub fn runs(&self, at: usize) -> bool {
+        self.slots[at].peer.is_some() && !self.slots[at].stopped
+    }
+
     pub fn peer(&self, at: usize) -> Option<&P> {
         self.slots[at].peer.as_ref()
     }
--- /dev/null
+++ b/crates/lab/src/parts.rs
@@ -0,0 +1,348 @@
+//! Budgets divided among hundreds of gateways, in simulated time: the code of `crates/shares` itself between the faults of
+//! `mesh`, with work that wants to be spent, beside two plainer ways on the same work.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use admission::interface::{Moment, Span};
+use fleet::{Datagram, Life};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use shares::{Amount, Bucket, Budget, Faults, Shares, Terms, Use, Who};
+
+use crate::mesh::{Mesh, Peer, address, name, number};
+
+/// How often work comes.
+pub const STEP_S: f64 = 0.05;
+/// CPU seconds a second for all gateways together.
+pub const WHOLE: f64 = 60.0;
+const BURST_S: f64 = 2.0;
+
+/// How a budget of all is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    Leases,
+    /// An even part each, by the most gateways that may run.
+    Even,
+    /// As a gateway alone does it: by its own traffic against an even part.
+    Guess,
+}
+
+impl Way {
+    pub const ALL: [Way; 3] = [Way::Leases, Way::Even, Way::Guess];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Way::Leases => "leases",
+            Way::Even => "even",
+            Way::Guess => "guess",
+        }
+    }
+}
+
+pub fn terms(most: usize) -> Terms {
+    let whole = Amount::of(WHOLE);
+    let floor = Amount((whole.0 as f64 * 0.2 / most as f64) as u64);
+    Terms {
+        budgets: vec![Budget { of: Use::Member("all".into()), whole, floor }],
+        voters: (0..5.min(most | 1)).map(name).collect(),
+        most,
+        lease: Span::from_secs(6.0),
+        term: Span::from_secs(2.0),
+        renew: Span::from_secs(0.5),
+        drift_ppm: 10_000,
+        burst: Span::from_secs(BURST_S),
+        faults: Faults::default(),
+    }
+}
+
+/// A gateway's part alone, without the rest of it: words carry the sender's life ahead, as the fleet's letters do.
+pub struct Part {
+    pub shares: Shares,
+    life: u64,
+    /// Millionths by which its clock runs fast, and where it started.
+    pub fast_ppm: i64,
+}
+
+impl Part {
+    pub fn new(now: Moment, at: usize, life: u32, terms: Terms, fast_ppm: i64, seed: u64) -> Self {
+        let life = u64::from(life) << 16 | at as u64;
+        let me = Who { name: name(at), life: Life(life) };
+        let local = clock(now, fast_ppm);
+        Part { shares: Shares::new(local, me, terms, seed), life, fast_ppm }
+    }
+
+    pub fn clock(&self, now: Moment) -> Moment {
+        clock(now, self.fast_ppm)
+    }
+}
+
+fn clock(now: Moment, fast_ppm: i64) -> Moment {
+    let secs = (now - Moment::from_secs(0.0)).secs();
+    Moment::from_secs(secs * (1.0 + fast_ppm as f64 / 1e6))
+}
+
+impl Peer for Part {
+    fn receive(&mut self, now: Moment, from: SocketAddr, bytes: &[u8]) {
+        let Some((life, words)) = bytes.split_first_chunk::<8>() else { return };
+        let who = Who { name: name(number(from)), life: Life(u64::from_le_bytes(*life)) };
+        let now = self.clock(now);
+        self.shares.receive(now, &who, words);
+    }
+
+    fn turn(&mut self, now: Moment) {
+        let now = self.clock(now);
+        self.shares.turn(now);
+    }
+
+    fn due(&self) -> Moment {
+        // A little later than by its own clock, never earlier: it is then due.
+        let own = (self.shares.due() - Moment::from_secs(0.0)).secs();
+        Moment::from_secs(own / (1.0 + self.fast_ppm as f64 / 1e6) + 2e-6)
+    }
+
+    fn take_out(&mut self) -> Vec<Datagram> {
+        let life = self.life.to_le_bytes();
+        let datagram = |letter: shares::Letter| {
+            let at: usize = letter.to.as_str()[1..].parse().expect("a gateway of the lab");
+            Datagram { to: address(at), bytes: [&life[..], &letter.word.bytes()].concat() }
+        };
+        self.shares.take_out().into_iter().map(datagram).collect()
+    }
+
+    fn there(&self) -> BTreeSet<usize> {
+        BTreeSet::new()
+    }
+
+    fn died(&mut self) -> Vec<usize> {
+        let _ = self.shares.take_events();
+        Vec::new()
+    }
+
+    fn leave(&mut self, now: Moment) {
+        let now = self.clock(now);
+        self.shares.leave(now);
+    }
+}
+
+pub fn parts(count: usize, seed: u64, terms: Terms) -> Mesh<Part> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x7061_7274);
+    let bound = i64::from(terms.drift_ppm);
+    let fast: Vec<i64> = (0..count).map(|_| rng.random_range(-bound..=bound)).collect();
+    Mesh::new(count, seed, move |at, now, life| {
+        let seed = seed.wrapping_mul(1_000_003).wrapping_add(at as u64 * 64 + u64::from(life));
+        Part::new(now, at, life, terms.clone(), fast[at], seed)
+    })
+}
+
+/// What was spent when, by gateway; looked through for the worst of any window.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    steps: VecDeque<f64>,
+}
+
+impl Record {
+    /// The most that was spent in any so many seconds, of what a whole and its burst allow.
+    pub fn worst(&self, window_s: f64, whole: f64, burst_s: f64) -> f64 {
+        let steps = (window_s / STEP_S).round() as usize;
+        let spent: Vec<f64> = self.steps.iter().copied().collect();
+        let sums = spent.windows(steps.min(spent.len()).max(1)).map(|of| of.iter().sum::<f64>());
+        sums.fold(0.0, f64::max) / (whole * (window_s + burst_s))
+    }
+}
+
+/// Work before a mesh, and what became of it.
+pub struct Work {
+    pub mesh: Mesh<Part>,
+    pub way: Way,
+    pub whole: f64,
+    most: usize,
+    /// Wanted a second, by gateway.
+    pub wants: Vec<f64>,
+    pub record: Record,
+    /// The largest sum of what all may spend, of the whole.
+    pub worst_sum: f64,
+    /// By time in steps: spent, and what an all-knowing divider would have: all that is wanted up to the whole.
+    pub spent: f64,
+    pub could: f64,
+    plain: BTreeMap<usize, Bucket>,
+}
+
+impl Work {
+    pub fn new(mesh: Mesh<Part>, way: Way, most: usize) -> Self {
+        let wants = vec![0.0; mesh.len()];
+        Work {
+            mesh,
+            way,
+            whole: WHOLE,
+            most,
+            wants,
+            record: Record::default(),
+            worst_sum: 0.0,
+            spent: 0.0,
+            could: 0.0,
+            plain: BTreeMap::new(),
+        }
+    }
+
+    fn rate(&self, at: usize) -> f64 {
+        let even = self.whole / self.most as f64;
+        match self.way {
+            Way::Even => even,
+            // `Policy::carries`: own traffic over an even part, a fifth more, no less than one and no more than all.
+            _ => even * (1.2 * self.wants[at] / even).clamp(1.0, self.most as f64),
+        }
+    }
+
+    /// What one may spend a second at present.
+    pub fn may(&mut self, at: usize) -> f64 {
+        let now = Moment::from_secs(self.mesh.now);
+        if self.way != Way::Leases {
+            return if self.mesh.peer(at).is_some() { self.rate(at) } else { 0.0 };
+        }
+        self.mesh.peer(at).map_or(0.0, |part| part.shares.core().may_spend(part.clock(now), 0).units())
+    }
+
+    pub fn sum(&mut self) -> f64 {
+        (0..self.mesh.len()).map(|at| self.may(at)).sum::<f64>() / self.whole
+    }
+
+    pub fn run(&mut self, lasts_s: f64) {
+        let until = self.mesh.now + lasts_s;
+        while self.mesh.now < until - 1e-9 {
+            self.mesh.run(self.mesh.now + STEP_S);
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let (mut spent, mut wanted) = (0.0, 0.0);
+        for at in 0..self.wants.len() {
+            let wants = self.wants[at] * STEP_S;
+            if wants <= 0.0 || !self.mesh.runs(at) {
+                continue;
+            }
+            wanted += wants;
+            // In ten pieces, as statements come, so that what is there is used up.
+            let piece = wants / 10.0;
+            spent += (0..10).filter(|_| self.take(at, piece)).count() as f64 * piece;
+        }
+        self.record.steps.push_back(spent);
+        self.spent += spent;
+        self.could += wanted.min(self.whole * STEP_S);
+        self.worst_sum = self.worst_sum.max(self.sum());
+    }
+
+    /// One piece of work at one gateway, if its part has room for it.
+    fn take(&mut self, at: usize, piece: f64) -> bool {
+        let (now, rate) = (Moment::from_secs(self.mesh.now), self.rate(at));
+        if self.way == Way::Leases {
+            let Some(part) = self.mesh.peer_mut(at) else { return false };
+            let local = part.clock(now);
+            part.shares.wants(local, 0, piece);
+            return part.shares.spend(local, 0, piece);
+        }
+        let secs = self.mesh.now;
+        let bucket = self.plain.entry(at).or_insert_with(|| Bucket::empty(secs, rate, BURST_S));
+        bucket.cut(rate);
+        bucket.fill(secs);
+        let owes = bucket.owes(piece);
+        if owes {
+            bucket.pay(piece);
+        }
+        owes
+    }
+
+    /// Spent of what could have been since the last call.
+    pub fn in_use(&mut self) -> f64 {
+        let (spent, could) = (std::mem::take(&mut self.spent), std::mem::take(&mut self.could));
+        spent / could.max(1e-9)
+    }
+}
+
+/// One situation's figures.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    pub way: &'static str,
+    pub gateways: usize,
+    pub what: &'static str,
+    /// The largest sum of what all might spend at one instant, of the whole.
+    pub worst_sum: f64,
+    /// The most that was spent in any second, of the whole and its burst.
+    pub worst_second: f64,
+    /// Spent of what an all-knowing divider would have.
+    pub in_use: f64,
+    pub words_s: f64,
+}
+
+/// All wants some times the whole, spread unevenly: the first of them wants most.
+fn uneven(count: usize, whole: f64, times: f64) -> Vec<f64> {
+    let weights: Vec<f64> = (0..count).map(|at| 1.0 / (1.0 + at as f64).powf(0.7)).collect();
+    let all: f64 = weights.iter().sum();
+    weights.into_iter().map(|of| of / all * whole * times).collect()
+}
+
+/// A way through one situation, by name.
+pub fn measure(way: Way, count: usize, seed: u64, what: &'static str) -> Figures {
+    let mut work = Work::new(parts(count, seed, terms(count)), way, count);
+    work.mesh.start_all();
+    work.wants = uneven(count, WHOLE, 1.3);
+    work.run(20.0);
+    (work.spent, work.could, work.worst_sum, work.record) = (0.0, 0.0, 0.0, Record::default());
+    let sent = |work: &Work| work.mesh.sent.iter().map(|sent| sent.0).sum::<u64>();
+    let (before, from) = (sent(&work), work.mesh.now);
+    match what {
+        "steady" => work.run(40.0),
+        // One has nine tenths of it, then another.
+        "moving" => {
+            for turn in 0..4 {
+                let hot = (turn * 7 + 1) % count;
+                let rest = WHOLE * 0.13 / (count - 1).max(1) as f64;
+                work.wants = (0..count).map(|at| if at == hot { WHOLE * 1.17 } else { rest }).collect();
+                work.run(10.0);
+            }
+        }
+        "partition" => {
+            work.mesh.cut(|a, b| (a % 5 < 3) != (b % 5 < 3));
+            work.run(20.0);
+            work.mesh.heal();
+            work.run(5.0);
+            work.mesh.cut(|a, b| (a % 5 < 2) != (b % 5 < 2));
+            work.run(20.0);
+        }
+        "half killed" => {
+            // A majority of the voters lives.
+            (0..count).filter(|at| at % 2 == 1).for_each(|at| work.mesh.kill(at));
+            work.wants.iter_mut().for_each(|wants| *wants *= 2.0);
+            work.run(30.0);
+        }
+        "in turn" => {
+            let tenth = count.div_ceil(10);
+            for first in (0..count).step_by(tenth) {
+                for at in first..(first + tenth).min(count) {
+                    work.mesh.leave(at);
+                    work.mesh.start(at);
+                }
+                work.run(3.0);
+            }
+        }
+        "lossy" => {
+            (work.mesh.faults.lost, work.mesh.faults.repeated) = (1.0 / 3.0, 1.0);
+            work.run(40.0);
+        }
+        other => panic!("no situation {other}"),
+    }
+    let lasted = work.mesh.now - from;
+    let alive = work.mesh.lives().len().max(1) as f64;
+    Figures {
+        way: way.name(),
+        gateways: count,
+        what,
+        worst_sum: work.worst_sum,
+        worst_second: work.record.worst(1.0, WHOLE, BURST_S),
+        in_use: work.in_use(),
+        words_s: (sent(&work) - before) as f64 / lasted / alive,
+    }
+}
+
+pub const SITUATIONS: [&str; 6] = ["steady", "moving", "partition", "half killed", "in turn", "lossy"];
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,6 +5,7 @@
 mod identity_block;
 mod place;
 mod queues_block;
+mod shares_block;
 
 pub use fleet_block::FleetTerms;
 pub use identity_block::Callers;
@@ -39,6 +40,12 @@
     true
 }
 
+fn within(path: &[&str], value: Option<f64>, default: f64, least: f64, most: f64) -> Result<f64, Fault> {
+    let value = value.unwrap_or(default);
+    let usable = value.is_finite() && (least..=most).contains(&value);
+    if usable { Ok(value) } else { Err(fault(path, format!("{value} is not between {least} and {most}"))) }
+}
+
 fn fault(path: &[&str], why: impl ToString) -> Fault {
     Fault { path: path.iter().map(|step| step.to_string()).collect(), why: why.to_string() }
 }
@@ -49,6 +56,7 @@
     queues: Option<queues_block::Queues>,
     identity: Option<identity_block::Identity>,
     fleet: Option<fleet_block::Fleet>,
+    shares: Option<shares_block::Shares>,
 }
 
 /// What the file says, checked.
@@ -58,6 +66,8 @@
     pub queues: Option<queues::Terms>,
     pub identity: Option<Callers>,
     pub fleet: Option<FleetTerms>,
+    /// Budgets that are divided among all; only where gateways know each other.
+    pub shares: Option<shares::Terms>,
 }
 
 impl Operator {
@@ -99,6 +109,12 @@
         let identity =
             read.identity.map(identity_block::Identity::callers).transpose().map_err(&located)?.flatten();
         let fleet = read.fleet.map(fleet_block::Fleet::terms).transpose().map_err(&located)?.flatten();
-        Ok(Operator { queues, identity, fleet })
+        let of = queues.as_ref();
+        let shares = read.shares.map(|block| block.terms(of)).transpose().map_err(&located)?.flatten();
+        if shares.is_some() && fleet.is_none() {
+            let why = "budgets are divided only where gateways know each other: a fleet block is needed";
+            return Err(located(fault(&["shares"], why)));
+        }
+        Ok(Operator { queues, identity, fleet, shares })
     }
 }
--- a/crates/operator/src/queues_block.rs
+++ b/crates/operator/src/queues_block.rs
@@ -7,11 +7,7 @@
 use queues::{Bound, Claim, DeskTerms, MemberTerms, Terms};
 use serde::Deserialize;
 
-use crate::{Fault, fault};
-
-fn yes() -> bool {
-    true
-}
+use crate::{Fault, fault, within, yes};
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -50,12 +46,6 @@
 /// The desk of a member that names none.
 const ONLY_DESK: &str = "all";
 
-fn within(path: &[&str], value: Option<f64>, default: f64, least: f64, most: f64) -> Result<f64, Fault> {
-    let value = value.unwrap_or(default);
-    let usable = value.is_finite() && (least..=most).contains(&value);
-    if usable { Ok(value) } else { Err(fault(path, format!("{value} is not between {least} and {most}"))) }
-}
-
 impl Queues {
     /// What the lines take; nothing where switched off.
     ///
--- /dev/null
+++ b/crates/operator/src/shares_block.rs
@@ -0,0 +1,94 @@
+//! `shares`: budgets of all gateways together.
+
+use std::collections::BTreeMap;
+
+use admission::interface::Span;
+use fleet::Name;
+use serde::Deserialize;
+use shares::{Amount, Budget, Terms, TermsError, Use};
+
+use crate::{Fault, fault, within, yes};
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Shares {
+    #[serde(default = "yes")]
+    enabled: bool,
+    voters: Vec<String>,
+    most_gateways: f64,
+    floor_part: Option<f64>,
+    lease_ms: Option<f64>,
+    term_ms: Option<f64>,
+    renew_ms: Option<f64>,
+    drift: Option<f64>,
+    burst_ms: Option<f64>,
+    #[serde(default = "yes")]
+    members: bool,
+    #[serde(default)]
+    relays_per_s: BTreeMap<String, f64>,
+    trials_per_s: Option<f64>,
+    #[serde(default)]
+    cold: bool,
+}
+
+impl Shares {
+    /// `queues`: whose members' budgets are divided here, where these are on.
+    ///
+    /// # Errors
+    /// A field that cannot be used, or contradicts another.
+    pub fn terms(self, queues: Option<&queues::Terms>) -> Result<Option<Terms>, Fault> {
+        let number =
+            |name, value, default, least, most| within(&["shares", name], value, default, least, most);
+        let span = |name, value, default: f64| {
+            number(name, value, default, 20.0, 600_000.0).map(|ms| Span::from_secs(ms / 1e3))
+        };
+        let most = number("most_gateways", Some(self.most_gateways), 1.0, 1.0, 4096.0)? as usize;
+        let floor_part = number("floor_part", self.floor_part, 0.2, 0.0, 1.0)?;
+        let budget = |of: Use, whole: f64| {
+            let whole = Amount::of(whole);
+            Budget { of, whole, floor: Amount((whole.0 as f64 * floor_part / most as f64) as u64) }
+        };
+        let mut budgets = Vec::new();
+        if self.members {
+            let members = queues.into_iter().flat_map(|queues| &queues.members);
+            let members = members.filter(|member| member.claim.budget > 0.0);
+            budgets.extend(members.map(|m| budget(Use::Member(m.name.clone()), m.claim.budget)));
+        }
+        for (product, whole) in &self.relays_per_s {
+            let whole = within(&["shares", "relays_per_s", product], Some(*whole), 0.0, 1e-3, 1e6)?;
+            budgets.push(budget(Use::Relays(product.clone()), whole));
+        }
+        if let Some(trials) = self.trials_per_s {
+            budgets.push(budget(Use::Trials, number("trials_per_s", Some(trials), 0.0, 1e-3, 1e6)?));
+        }
+        if self.cold {
+            budgets.push(budget(Use::Cold, 1.0));
+        }
+        budgets.sort_by_key(Budget::name);
+        let named = |name: &String| Name::new(name).map_err(|why| fault(&["shares", "voters"], why));
+        let mut voters = self.voters.iter().map(named).collect::<Result<Vec<_>, _>>()?;
+        voters.sort();
+        let terms = Terms {
+            budgets,
+            voters,
+            most,
+            lease: span("lease_ms", self.lease_ms, 6000.0)?,
+            term: span("term_ms", self.term_ms, 2000.0)?,
+            renew: span("renew_ms", self.renew_ms, 500.0)?,
+            drift_ppm: (number("drift", self.drift, 0.01, 0.0, 0.2)? * 1e6) as u32,
+            burst: span("burst_ms", self.burst_ms, 2000.0)?,
+            faults: shares::Faults::default(),
+        };
+        terms.check().map_err(|why| {
+            let field = match &why {
+                TermsError::Budgets | TermsError::Twice(_) => "shares",
+                TermsError::Floors(..) => "floor_part",
+                TermsError::Voters => "voters",
+                TermsError::Short => "term_ms",
+                TermsError::Lease => "lease_ms",
+            };
+            if field == "shares" { fault(&["shares"], why) } else { fault(&["shares", field], why) }
+        })?;
+        Ok(self.enabled.then_some(terms))
+    }
+}
--- a/crates/queues/src/budget.rs
+++ b/crates/queues/src/budget.rs
@@ -1,6 +1,7 @@
 //! One team's account: what it is owed, and its part of what others leave.
 
 use admission::interface::{Moment, Span};
+use shares::Bucket;
 
 use crate::terms::Claim;
 
@@ -10,10 +11,10 @@
 #[derive(Clone, Debug)]
 pub struct Account {
     claim: Claim,
-    most: f64,
-    level: f64,
-    at: Till,
+    bucket: Bucket,
     lent: f64,
+    /// Paid out of the budget since the start.
+    paid: f64,
 }
 
 /// The time that budgets go by. It runs faster than the clock while this gateway carries more than its share, as when
@@ -51,55 +52,67 @@
 impl Account {
     /// Under this weight a team would wait for ever beside others.
     const LEAST_WEIGHT: f64 = 1e-6;
-    /// Of all that can be saved, as good as all.
-    const FULL: f64 = 0.99;
 
     pub fn new(now: Till, claim: Claim, burst: Span) -> Self {
-        let most = claim.budget * burst.secs();
-        Account { claim, most, level: most, at: now, lent: 0.0 }
+        let bucket = Bucket::full(now.secs, claim.budget, burst.secs());
+        Account { claim, bucket, lent: 0.0, paid: 0.0 }
     }
 
     /// New terms: what it has used stays used.
     pub fn change(&mut self, now: Till, claim: Claim, burst: Span) {
-        self.fill(now);
-        let kept = self.level / self.most.max(1e-9);
-        let fresh = Account::new(now, claim, burst);
-        let level = if self.most > 0.0 { (kept * fresh.most).min(fresh.most) } else { fresh.most };
-        *self = Account { level, lent: self.lent, ..fresh };
+        self.bucket.fill(now.secs);
+        self.bucket.rescale(claim.budget, burst.secs());
+        self.claim = claim;
     }
 
-    fn fill(&mut self, now: Till) {
-        let gone = (now.secs - self.at.secs).max(0.0);
-        self.level = (self.level + self.claim.budget * gone).min(self.most);
-        self.at = now;
+    /// Its part of a budget of all gateways from now on: savings are cut with it, and do not grow with it; debts stay.
+    pub fn lease(&mut self, now: Till, rate: f64) {
+        self.bucket.fill(now.secs);
+        self.bucket.cut(rate);
+        self.claim.budget = rate;
+    }
+
+    /// New terms but for the part that is leased, which is told as it changes: savings and debts stay.
+    pub fn hold(&mut self, now: Till, weight: f64, burst: Span) {
+        self.bucket.fill(now.secs);
+        self.bucket.save_over(burst.secs());
+        self.claim.weight = weight;
+    }
+
+    /// Nothing is saved: what is leased from now on was another's to save up to here.
+    pub fn empty(&mut self, now: Till) {
+        self.bucket = Bucket::empty(now.secs, self.bucket.rate(), self.bucket.burst());
     }
 
     /// Whether a statement of this cost is owed to it: what is saved pays for it, or nothing more can be saved. So
     /// many light ones are not kept back by the debts of a few heavy ones, and one larger than all can go.
     pub fn owes(&mut self, now: Till, cpu: f64) -> bool {
-        self.fill(now);
-        self.most > 0.0 && self.level >= cpu.min(self.most * Self::FULL)
+        self.bucket.fill(now.secs);
+        self.bucket.owes(cpu)
     }
 
     /// When it will be owed this; never where nothing is owed.
     pub fn owes_at(&mut self, now: Till, cpu: f64) -> Option<Moment> {
-        self.fill(now);
-        let lacks = (cpu.min(self.most * Self::FULL) - self.level).max(0.0);
+        self.bucket.fill(now.secs);
         // A microsecond more: the clock's grain must not leave it just short.
-        let rate = self.claim.budget * now.stretch;
-        (rate > 0.0).then(|| now.at + Span::from_secs(lacks / rate + 1e-6))
+        let owes_in = self.bucket.owes_in(cpu)?;
+        Some(now.at + Span::from_secs(owes_in / now.stretch + 1e-6))
     }
 
     /// What is saved by now; negative: to be made up for first.
     pub fn saved(&mut self, now: Till) -> f64 {
-        self.fill(now);
-        self.level
+        self.bucket.fill(now.secs);
+        self.bucket.level()
     }
 
     pub fn lent(&self) -> f64 {
         self.lent
     }
 
+    pub fn paid(&self) -> f64 {
+        self.paid
+    }
+
     pub fn claim(&self) -> Claim {
         self.claim
     }
@@ -110,9 +123,10 @@
     }
 
     pub fn pay(&mut self, now: Till, cpu: f64, owed: bool) -> Paid {
-        self.fill(now);
+        self.bucket.fill(now.secs);
         if owed {
-            self.level -= cpu;
+            self.bucket.pay(cpu);
+            self.paid += cpu;
             return Paid::Budget;
         }
         self.lent += cpu / self.claim.weight.max(Self::LEAST_WEIGHT);
@@ -121,9 +135,12 @@
 
     /// Beyond what was paid (less, if negative), as the outcome told.
     pub fn correct(&mut self, now: Till, paid: Paid, more: f64) {
-        self.fill(now);
+        self.bucket.fill(now.secs);
         match paid {
-            Paid::Budget => self.level = (self.level - more).min(self.most),
+            Paid::Budget => {
+                self.bucket.pay(more);
+                self.paid += more;
+            }
             Paid::Lent => {
                 self.lent = (self.lent + more / self.claim.weight.max(Self::LEAST_WEIGHT)).max(0.0);
             }
--- a/crates/queues/src/hall.rs
+++ b/crates/queues/src/hall.rs
@@ -161,6 +161,25 @@
         self.dispatch.told_doubts(now, doubts);
     }
 
+    /// What this gateway may still do of what all together may.
+    pub fn told_allowed(&mut self, allowed: Allowed) {
+        self.dispatch.told_allowed(allowed);
+    }
+
+    pub fn carries(&self) -> f64 {
+        self.dispatch.carries()
+    }
+
+    /// Members' budgets as this gateway's part of them at present, by their places in the terms.
+    pub fn lease(&mut self, now: Moment, rates: &[Option<f64>]) {
+        self.lines.iter_mut().for_each(|lines| lines.lease(now, rates));
+    }
+
+    /// What members wanted and spent of their budgets since the start, in predicted CPU seconds.
+    pub fn flows(&self) -> Vec<(f64, f64)> {
+        self.lines.as_ref().map(|lines| lines.flows().collect()).unwrap_or_default()
+    }
+
     /// How each engine stands.
     pub fn health(&self) -> impl Iterator<Item = EngineHealth> {
         self.dispatch.health()
--- a/crates/queues/src/lines.rs
+++ b/crates/queues/src/lines.rs
@@ -153,6 +153,8 @@
     lent_now: f64,
     waiting: u32,
     desks: Vec<u32>,
+    /// Predicted CPU seconds that came for it since the start.
+    wanted: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -236,6 +238,8 @@
     owed: f64,
     cores: f64,
     till: Till,
+    /// Budgets are told as they change, for all gateways together: nothing here guesses its part of them.
+    leased: bool,
     now: Moment,
 }
 
@@ -272,6 +276,7 @@
             owed: 0.0,
             cores: 1.0,
             till: Till::new(now),
+            leased: false,
             now,
             terms,
         };
@@ -311,6 +316,7 @@
                 shown: vec![None; lanes],
                 lent_now: 0.0,
                 waiting: 0,
+                wanted: 0.0,
                 desks: (first..self.desks.len() as u32).collect(),
             });
         }
@@ -341,7 +347,7 @@
     /// gateway's share; estimates follow it at once. `carries`: its part of the traffic over that share; budgets follow.
     pub fn round(&mut self, now: Moment, cores: f64, carries: f64) {
         self.till.go_on(now);
-        self.till.stretch(carries);
+        self.till.stretch(if self.leased { 1.0 } else { carries });
         if (cores - self.cores).abs() > 1e-9 {
             // What passed up to now passed with the cores of before.
             let before = std::mem::replace(&mut self.cores, cores);
@@ -369,6 +375,39 @@
         }
     }
 
+    /// Members' budgets from now on, of those that are told, with their desks' in proportion. The first time nothing is
+    /// saved: what the terms say is all gateways' together.
+    pub fn lease(&mut self, now: Moment, rates: &[Option<f64>]) {
+        self.at(now);
+        let first = !std::mem::replace(&mut self.leased, true);
+        for (at, rate) in rates.iter().enumerate() {
+            let (Some(rate), Some(member)) = (*rate, self.members.get_mut(at)) else { continue };
+            if !first && member.account.claim().budget == rate {
+                continue;
+            }
+            let whole = self.terms.members[at].claim.budget.max(1e-9);
+            member.account.lease(self.till, rate);
+            for (desk, terms) in member.desks.iter().zip(&self.terms.members[at].desks) {
+                let account = &mut self.desks[*desk as usize].account;
+                account.lease(self.till, rate * terms.claim.budget / whole);
+                if first {
+                    account.empty(self.till);
+                }
+            }
+            if first {
+                member.account.empty(self.till);
+            }
+            let desks = member.desks.clone();
+            desks.into_iter().for_each(|desk| self.show_desk(desk));
+        }
+        self.owed = self.members.iter().map(|member| member.account.claim().budget).sum();
+    }
+
+    /// What each member wanted and spent of its budget since the start.
+    pub fn flows(&self) -> impl Iterator<Item = (f64, f64)> {
+        self.members.iter().map(|member| (member.wanted, member.account.paid()))
+    }
+
     /// Whether a statement of this cost that comes now would wait for what other members lend.
     pub fn would_be_lent(&mut self, now: Moment, desk: DeskId, cpu: f64) -> bool {
         self.at(now);
@@ -381,6 +420,8 @@
         let desk = entry.desk.0.min(self.desks.len() as u32 - 1);
         let usual = &mut self.usual[entry.product.0];
         *usual = if *usual > 0.0 { *usual + (entry.need.cpu - *usual) * 0.05 } else { entry.need.cpu };
+        let member = self.desks[desk as usize].member;
+        self.members[member as usize].wanted += entry.need.cpu;
         let raw = self.raw(desk, lane, entry.place, entry.need);
         let told = self.records[entry.product.0].tell(raw);
         // An answer that comes late has cost another its place. Only what was seen here denies, not what is likely; and of
@@ -916,7 +957,15 @@
         self.root = vec![Ranks::default(); self.products];
         self.terms = terms;
         self.lay_out();
-        let (till, burst) = (self.till, self.terms.burst);
+        let (till, burst, leased) = (self.till, self.terms.burst, self.leased);
+        if leased {
+            // What the terms say is all gateways' together.
+            self.members.iter_mut().for_each(|member| member.account.lease(till, 0.0));
+            self.desks.iter_mut().for_each(|desk| desk.account.lease(till, 0.0));
+        }
+        let keep = |account: &mut Account, claim: crate::terms::Claim| {
+            if leased { account.hold(till, claim.weight, burst) } else { account.change(till, claim, burst) }
+        };
         let by_name: BTreeMap<&str, u32> =
             self.members.iter().enumerate().map(|(at, member)| (member.name.as_str(), at as u32)).collect();
         let member_now: Vec<Option<u32>> =
@@ -935,14 +984,15 @@
             let Some(member) = now_at.map(|at| &mut self.members[at as usize]) else { continue };
             let claim = member.account.claim();
             member.account = old.account.clone();
-            member.account.change(till, claim, burst);
+            member.wanted = old.wanted;
+            keep(&mut member.account, claim);
             member.lent_now = old.lent_now;
         }
         for (old, (at, _)) in old_desks.into_iter().zip(&desk_now).filter(|(_, (_, kept))| *kept) {
             let desk = &mut self.desks[*at as usize];
             let claim = desk.account.claim();
             (desk.account, desk.paces, desk.pace) = (old.account, old.paces, old.pace);
-            desk.account.change(till, claim, burst);
+            keep(&mut desk.account, claim);
         }
         for charge in self.charges.values_mut() {
             charge.desk = desk_now[charge.desk as usize].0;
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -30,6 +30,8 @@
     pub block: String,
     /// Without, each gateway is alone: for comparison.
     pub fleet: bool,
+    /// Further blocks of each operator's file.
+    pub further: String,
 }
 
 impl Wanted {
@@ -37,7 +39,16 @@
     pub fn new(program: impl Into<PathBuf>, gateways: usize) -> Self {
         let block = "period_ms = 250\n  answer_ms = 110\n  suspicion_periods = 8\n  hold_ms = 500\n  keep_gone_ms = 30000".to_owned();
         let (engine_delay, program) = (Duration::from_millis(5), program.into());
-        Wanted { program, gateways, engines: 2, engine_delay, seed: 1, block, fleet: true }
+        Wanted {
+            program,
+            gateways,
+            engines: 2,
+            engine_delay,
+            seed: 1,
+            block,
+            fleet: true,
+            further: String::new(),
+        }
     }
 }
 
@@ -85,6 +96,19 @@
     }
 }
 
+/// One budget as one gateway shows it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Part {
+    pub whole: f64,
+    pub floor: f64,
+    pub leased: f64,
+    pub wanted: f64,
+    pub spent: f64,
+    pub allowed: f64,
+    pub steward: String,
+    pub is_steward: bool,
+}
+
 pub struct Fleet {
     pub wanted: Wanted,
     pub all: Vec<One>,
@@ -169,12 +193,13 @@
             self.all.iter().take(3).map(|one| format!("\"{}\"", one.advertised)).collect();
         let one = &self.all[at];
         format!(
-            "fleet {{\n  fleet = \"rig\"\n  bind = \"{}\"\n  advertise = \"{}\"\n  seeds = [{}]\n  keys_folder = \"{}\"\n  {}\n}}\n",
+            "fleet {{\n  fleet = \"rig\"\n  bind = \"{}\"\n  advertise = \"{}\"\n  seeds = [{}]\n  keys_folder = \"{}\"\n  {}\n}}\n{}\n",
             one.bound,
             one.advertised,
             seeds.join(", "),
             self.keys(at).display(),
-            self.wanted.block
+            self.wanted.block,
+            self.wanted.further
         )
     }
 
@@ -217,6 +242,63 @@
         Ok(())
     }
 
+    /// Other further blocks for these gateways, which run: written, and read on SIGHUP.
+    pub fn rewrite(&mut self, of: &[usize], further: &str) -> io::Result<()> {
+        self.wanted.further = further.to_owned();
+        for at in of {
+            let path = self.folder.join(format!("{}.hcl", self.all[*at].name));
+            std::fs::write(path, self.operator(*at))?;
+            self.signal(*at, Signal::HUP);
+        }
+        Ok(())
+    }
+
+    /// What one holds of each budget: whole, floor, leased, spent; and whom it takes for steward.
+    pub fn parts(&self, at: usize) -> Option<BTreeMap<String, Part>> {
+        self.all[at].child.as_ref()?;
+        let mut client = Client::login(self.all[at].listen).ok()?;
+        let Ok(Answer::Rows(rows)) = client.ask("SHOW SHARES") else { return None };
+        let own = rows.into_iter().filter(|row| row[1] == self.all[at].name);
+        let number = |text: &str| text.parse().unwrap_or(0.0);
+        let part = |row: Vec<String>| {
+            let part = Part {
+                whole: number(&row[3]),
+                floor: number(&row[4]),
+                leased: number(&row[5]),
+                wanted: number(&row[7]),
+                spent: number(&row[8]),
+                allowed: number(&row[9]),
+                steward: row[11].clone(),
+                is_steward: row[12] != "-",
+            };
+            (row[0].clone(), part)
+        };
+        Some(own.map(part).collect())
+    }
+
+    /// Waits until this holds for what all of these hold together.
+    ///
+    /// # Errors
+    /// It did not within the time; what each held last.
+    pub fn until_parts(
+        &self,
+        within: Duration,
+        of: &[usize],
+        holds: impl Fn(&[BTreeMap<String, Part>]) -> bool,
+    ) -> Result<Duration, String> {
+        let began = Instant::now();
+        loop {
+            let all: Vec<_> = of.iter().map(|at| self.parts(*at).unwrap_or_default()).collect();
+            if all.iter().all(|parts| !parts.is_empty()) && holds(&all) {
+                return Ok(began.elapsed());
+            }
+            if began.elapsed() > within {
+                return Err(format!("after {:?}: {all:#?}", began.elapsed()));
+            }
+            sleep(Duration::from_millis(25));
+        }
+    }
+
     /// Waits until one answers its clients.
     pub fn ready(&self, at: usize) {
         let until = Instant::now() + Duration::from_secs(20);
