Clocks beyond the told drift are noticed; random fleets; the hard cases of budgets in the lab

Need: what a clock beyond its bound breaks had to be noticed, and the issue's hard cases seen at 300 gateways. Change: the steward compares each holder's steady clock with its own over questions known to be answered in time, and leases nothing to one that runs further off than told (floors stay). Comparing clocks over any question failed first: delays of three seconds in the search marked honest holders.

--- a/crates/gateway/src/fleet/parts.rs
+++ b/crates/gateway/src/fleet/parts.rs
@@ -228,6 +228,13 @@
                 Event::Over => warn!("shares: this gateway is steward no more"),
                 Event::Leased(by) => info!(steward = %by, "shares: leased"),
                 Event::Floors => warn!("shares: the lease is over and not renewed; floors alone"),
+                Event::Drift(of) => {
+                    let of: Vec<String> = of.iter().map(ToString::to_string).collect();
+                    warn!(
+                        of = of.join(", "),
+                        "shares: clocks run further off than is told; these have their floors alone"
+                    );
+                }
                 Event::Differ(of) => {
                     let of: Vec<String> = of.iter().map(|(who, budget)| format!("{who}: {budget}")).collect();
                     warn!(of = of.join(", "), "shares: files differ; the smaller whole of a voter counts");
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -164,6 +164,10 @@
             println!("way     gateways  what          worst sum  worst second  in use  words a second each");
             for count in gateways.split(',') {
                 let count: usize = count.trim().parse()?;
+                let [joined, left, killed] = parts::times(count, seed).map(|secs| secs.unwrap_or(f64::NAN));
+                println!(
+                    "        {count:>8}  first part after joining {joined:.2} s; all out after one left {left:.2} s, was killed {killed:.2} s"
+                );
                 for (what, way) in
                     parts::SITUATIONS.iter().flat_map(|what| parts::Way::ALL.map(|way| (*what, way)))
                 {
--- a/crates/lab/src/parts.rs
+++ b/crates/lab/src/parts.rs
@@ -345,4 +345,38 @@
     }
 }
 
+/// Seconds until all that can be had is out again: after one more joined, after one left in order, after one was killed.
+pub fn times(count: usize, seed: u64) -> [Option<f64>; 3] {
+    let mut work = Work::new(parts(count + 1, seed, terms(count + 1)), Way::Leases, count + 1);
+    (0..count).for_each(|at| work.mesh.start(at));
+    work.wants = uneven(count + 1, WHOLE, 1.3);
+    work.run(20.0);
+    let floor = 0.2 / (count + 1) as f64;
+    let out = |work: &mut Work, there: usize| {
+        let (began, can) = (work.mesh.now, 1.0 - floor * (count + 1 - there) as f64);
+        while work.mesh.now < began + 60.0 {
+            work.run(STEP_S);
+            if work.sum() > can * 0.99 {
+                return Some(work.mesh.now - began);
+            }
+        }
+        None
+    };
+    let hot = count / 2 | 1;
+    work.mesh.start(count);
+    work.wants[count] = WHOLE * 0.3;
+    let began = work.mesh.now;
+    // Its first part, beyond the floor.
+    while work.may(count) < 1.5 * floor * WHOLE && work.mesh.now < began + 60.0 {
+        work.run(STEP_S);
+    }
+    let joined = (work.may(count) >= 1.5 * floor * WHOLE).then_some(work.mesh.now - began);
+    work.run(10.0);
+    work.mesh.leave(count);
+    let left = out(&mut work, count);
+    work.run(10.0);
+    work.mesh.kill(hot);
+    [joined, left, out(&mut work, count - 1)]
+}
+
 pub const SITUATIONS: [&str; 6] = ["steady", "moving", "partition", "half killed", "in turn", "lossy"];
--- a/crates/shares/src/core.rs
+++ b/crates/shares/src/core.rs
@@ -39,6 +39,8 @@
     Floors,
     /// The files of some holders differ from the steward's own over these budgets.
     Differ(Vec<(Name, String)>),
+    /// Their clocks run further off this one's than told: they have their floors alone.
+    Drift(Vec<Name>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -59,6 +61,7 @@
     left: bool,
     leased: bool,
     differed: Vec<(Name, String)>,
+    drifted: Vec<Name>,
     out: Vec<Letter>,
     events: Vec<Event>,
 }
@@ -91,6 +94,7 @@
             left: false,
             leased: false,
             differed: Vec::new(),
+            drifted: Vec::new(),
             out: Vec::new(),
             events: Vec::new(),
             terms,
@@ -319,7 +323,8 @@
         self.told.clone_from(&self.needs);
         self.asked_at = now;
         let count = self.holder.ask(now, to.clone());
-        let ask = Ask { count, holds, leaves, needs };
+        let clock_ms = ((now - Moment::from_secs(0.0)).secs() * 1e3) as u64;
+        let ask = Ask { count, holds, leaves, clock_ms, needs };
         if to != self.me.name {
             return self.send(&to, Word::Ask(ask));
         }
@@ -339,6 +344,11 @@
             self.differed = differ.clone();
             self.event(Event::Differ(differ));
         }
+        let drift: Vec<Name> = self.office.as_ref()?.drifting().take(8).cloned().collect();
+        if drift != self.drifted {
+            self.drifted.clone_from(&drift);
+            self.event(Event::Drift(drift));
+        }
         Some(amounts)
     }
 
--- a/crates/shares/src/office.rs
+++ b/crates/shares/src/office.rs
@@ -42,10 +42,40 @@
     needs: Vec<Amount>,
     told: Vec<(Amount, Amount)>,
     granted: Vec<Granted>,
+    /// Its clock against the steward's, from a first question on: whether it runs further off than is told.
+    clock: Clocks,
     /// It gave all back: kept only so that a question of before, come late, is known for one.
     left: bool,
 }
 
+/// Two steady clocks, compared over long enough for a word's way not to matter. Only questions count that were known to
+/// be answered before the next one went: no way of theirs took longer than that.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Clocks {
+    from: Option<(Moment, u64)>,
+    last: Option<(Count, Moment, u64)>,
+    off: bool,
+}
+
+impl Clocks {
+    const ENOUGH_S: f64 = 15.0;
+    /// Renewals between two questions at most, with their jitter.
+    const WAYS: f64 = 1.25;
+
+    fn see(&mut self, now: Moment, ask: &Ask, terms: &Terms) {
+        let last = self.last.replace((ask.count, now, ask.clock_ms));
+        let Some((_, now, theirs)) = last.filter(|(count, ..)| ask.holds == Some(*count)) else { return };
+        let (from, from_theirs) = *self.from.get_or_insert((now, theirs));
+        let own = (now - from).secs();
+        if own < Self::ENOUGH_S {
+            return;
+        }
+        let theirs_s = (theirs as f64 - from_theirs as f64) / 1e3;
+        let bound = own * 2.0 * f64::from(terms.drift_ppm) / 1e6 + terms.renew.secs() * Self::WAYS;
+        (self.off, self.from) = ((theirs_s - own).abs() > bound, Some((now, theirs)));
+    }
+}
+
 impl Entry {
     /// The most that it may hold of a budget.
     fn reserved(&self, now: Moment, at: usize) -> Amount {
@@ -183,9 +213,11 @@
             needs: vec![Amount::ZERO; lines.len()],
             told: vec![(Amount::ZERO, Amount::ZERO); lines.len()],
             granted: Vec::new(),
+            clock: Clocks::default(),
             left: false,
         });
         (entry.count, entry.heard, entry.left) = (ask.count, now, ask.leaves);
+        entry.clock.see(now, ask, terms);
         entry.needs = lines.iter().map(|line| line.need.min(Amount::MOST)).collect();
         entry.told = lines.iter().map(|line| (line.whole.min(Amount::MOST), line.floor)).collect();
         // It takes no answer any more but to this question, and holds what it says: all others are void.
@@ -219,14 +251,14 @@
 
     fn grant(&self, now: Moment, by: &Who, at: usize, open: bool, terms: &Terms) -> Amount {
         let own = &self.books[by];
+        if own.clock.off {
+            return Amount::ZERO;
+        }
         let (pool, last) = (self.pool(now, at, terms), own.last(at));
         let quiet = Span::from_secs(terms.renew.secs() * QUIET);
-        let asking = self
-            .books
-            .iter()
-            .filter(|(_, entry)| now - entry.heard < quiet && !entry.left)
-            .map(|(who, _)| who);
-        let asking: Vec<&Who> = asking.collect();
+        let asks = |entry: &Entry| now - entry.heard < quiet && !entry.left && !entry.clock.off;
+        let asking: Vec<&Who> =
+            self.books.iter().filter(|(_, entry)| asks(entry)).map(|(who, _)| who).collect();
         let needs: Vec<Amount> = asking.iter().map(|who| self.books[*who].needs[at]).collect();
         let parts = divide(pool, &needs);
         let part = asking.iter().position(|who| *who == by).map_or(Amount::ZERO, |of| parts[of]);
@@ -239,6 +271,11 @@
         part.max(least).min(most)
     }
 
+    /// Holders whose clocks run further off than is told.
+    pub fn drifting(&self) -> impl Iterator<Item = &Name> {
+        self.books.iter().filter(|(_, entry)| entry.clock.off && !entry.left).map(|(who, _)| &who.name)
+    }
+
     pub fn holdings(&self, now: Moment, at: usize, terms: &Terms) -> Vec<Holding> {
         let own = (terms.budgets[at].whole, terms.budgets[at].floor);
         let of = |(who, entry): (&Who, &Entry)| Holding {
--- a/crates/shares/src/word.rs
+++ b/crates/shares/src/word.rs
@@ -45,6 +45,8 @@
     pub holds: Option<Count>,
     /// It gives all back, and has stopped to spend it.
     pub leaves: bool,
+    /// Its steady clock in milliseconds: leases are only as good as it runs.
+    pub clock_ms: u64,
     pub needs: Vec<Need>,
 }
 
