Windows of every length at the engines, joins and leaves under a flood, idle and short parts in processes

Change: further relays at the engines are looked at every 100 ms, and each window between two looks is held against the whole, its burst and one a gateway; restarts in turn by SIGTERM and kill under a flood, all idle, all short.

--- a/crates/gateway/tests/shares.rs
+++ b/crates/gateway/tests/shares.rs
@@ -11,7 +11,7 @@
 use rig::fleet::{Fleet, Part, Wanted, name};
 use rustix::process::Signal;
 use toy::client::Client;
-use toy::engine::Mood;
+use toy::engine::{Engine, Mood};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_laurelhitch");
 const SOON: Duration = Duration::from_secs(40);
@@ -62,8 +62,9 @@
     ends: Arc<AtomicBool>,
     asked: Arc<AtomicU64>,
     clients: Vec<JoinHandle<()>>,
+    /// Further relays at the engines by time, looked at every 100 ms.
+    seen: JoinHandle<Vec<(Duration, usize)>>,
     began: Instant,
-    before: usize,
 }
 
 impl Flood {
@@ -71,7 +72,6 @@
         static RIDS: AtomicU64 = AtomicU64::new(1 << 40);
         fleet.engines.iter().for_each(|engine| engine.set(Mood::Error));
         let (ends, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
-        let before = again(fleet);
         let client = |at: &usize| {
             let (listen, ends, asked) = (fleet.all[*at].listen, ends.clone(), asked.clone());
             std::thread::spawn(move || {
@@ -95,34 +95,62 @@
             })
         };
         let clients = of.iter().map(client).collect();
-        Flood { ends, asked, clients, began: Instant::now(), before }
+        let (began, engines, over) = (Instant::now(), fleet.engines.clone(), ends.clone());
+        let seen = std::thread::spawn(move || {
+            let mut seen = vec![(began.elapsed(), again(&engines))];
+            while !over.load(Ordering::Relaxed) {
+                sleep(Duration::from_millis(100));
+                seen.push((began.elapsed(), again(&engines)));
+            }
+            seen
+        });
+        Flood { ends, asked, clients, seen, began }
     }
 
-    /// Ends it: further relays that came to the engines, seconds that it lasted, statements asked.
-    fn end(self, fleet: &Fleet) -> (usize, f64, u64) {
+    /// Ends it: further relays that came to the engines by time, and statements asked.
+    fn end(self) -> Spent {
         self.ends.store(true, Ordering::Relaxed);
         self.clients.into_iter().for_each(|client| client.join().unwrap());
-        let lasted = self.began.elapsed().as_secs_f64();
-        (again(fleet) - self.before, lasted, self.asked.load(Ordering::Relaxed))
+        let seen = self.seen.join().unwrap();
+        Spent { lasted: self.began.elapsed().as_secs_f64(), seen, asked: self.asked.load(Ordering::Relaxed) }
+    }
+}
+
+struct Spent {
+    seen: Vec<(Duration, usize)>,
+    lasted: f64,
+    asked: u64,
+}
+
+impl Spent {
+    fn all(&self) -> usize {
+        self.seen.last().unwrap().1 - self.seen[0].1
     }
 }
 
 /// Relays at all engines beyond the first of each statement.
-fn again(fleet: &Fleet) -> usize {
+fn again(engines: &[Engine]) -> usize {
     let mut seen = BTreeSet::new();
-    let lines = fleet.engines.iter().flat_map(|engine| engine.lines());
+    let lines = engines.iter().flat_map(|engine| engine.lines());
     let relays = lines.filter_map(|line| line.strip_prefix("do ").map(|rest| rest[..16].to_owned()));
     relays.filter(|rid| !seen.insert(rid.clone())).count()
 }
 
-/// Never more than the whole and what it saves up came to the engines, and one that each gateway may owe.
-fn held(fleet: &Fleet, spent: (usize, f64, u64), whole: f64) {
-    let (again, lasted, asked) = spent;
-    let most = whole * (lasted + BURST_S) + fleet.all.len() as f64;
-    assert!(
-        (again as f64) <= most,
-        "{again} further relays of {asked} statements in {lasted:.1} s, {most:.1} allowed"
-    );
+/// In no window did more than the whole and what it saves up come to the engines, and one that each gateway may owe.
+fn held(fleet: &Fleet, spent: &Spent, whole: f64) {
+    for (at, (from, before)) in spent.seen.iter().enumerate() {
+        for (to, after) in &spent.seen[at..] {
+            // Seen a tenth of a second late at most, at either end.
+            let window = (*to - *from).as_secs_f64() + 0.2;
+            let most = whole * (window + BURST_S) + fleet.all.len() as f64;
+            let came = after - before;
+            assert!(
+                came as f64 <= most,
+                "{came} further relays from {from:?} to {to:?} of {} statements, {most:.1} allowed",
+                spent.asked
+            );
+        }
+    }
 }
 
 #[test]
@@ -130,12 +158,17 @@
     let fleet = divided(5);
     let flood = Flood::at(&fleet, &[0, 1, 2, 3, 4]);
     sleep(Duration::from_secs(8));
-    let spent = flood.end(&fleet);
-    held(&fleet, spent, WHOLE);
+    let spent = flood.end();
+    held(&fleet, &spent, WHOLE);
     // It is used, too: the flood wants far more.
-    assert!(spent.0 as f64 > WHOLE * spent.1 * 0.5 && spent.2 > 500, "{spent:?}");
+    assert!(
+        spent.all() as f64 > WHOLE * spent.lasted * 0.5 && spent.asked > 500,
+        "{} of {}",
+        spent.all(),
+        spent.asked
+    );
     let said: f64 = fleet.everyone().into_iter().map(|at| fleet.parts(at).unwrap()[BUDGET].spent).sum();
-    assert!((said - spent.0 as f64).abs() <= 5.0, "{said} said, {} arrived", spent.0);
+    assert!((said - spent.all() as f64).abs() <= 5.0, "{said} said, {} arrived", spent.all());
 }
 
 #[test]
@@ -146,7 +179,7 @@
         let flood = Flood::at(&fleet, &[hot, hot, hot]);
         let most = |parts: &[BTreeMap<String, Part>]| may(&parts[hot][BUDGET]) > WHOLE * 0.7;
         fleet.until_parts(SOON, &all, most).unwrap();
-        held(&fleet, flood.end(&fleet), WHOLE);
+        held(&fleet, &flood.end(), WHOLE);
     }
 }
 
@@ -173,7 +206,7 @@
         fleet.until_parts(SOON, &few, |parts| parts.iter().all(|of| of[BUDGET].leased == 0.0)).unwrap();
         fleet.switch.faults(rig::switch::Faults::heal);
         fleet.until_parts(SOON, &fleet.everyone(), |parts| out(parts) > WHOLE * 0.99).unwrap();
-        held(&fleet, flood.end(&fleet), WHOLE);
+        held(&fleet, &flood.end(), WHOLE);
     }
 }
 
@@ -197,7 +230,7 @@
     fleet
         .until_parts(SOON, &fleet.everyone(), |parts| stewards(parts) == 1 && out(parts) > WHOLE * 0.99)
         .unwrap();
-    held(&fleet, flood.end(&fleet), WHOLE);
+    held(&fleet, &flood.end(), WHOLE);
 }
 
 #[test]
@@ -215,8 +248,8 @@
     fleet
         .until_parts(SOON, &fleet.everyone(), |parts| stewards(parts) == 1 && out(parts) > WHOLE * 0.99)
         .unwrap();
-    let spent = flood.end(&fleet);
-    held(&fleet, spent, WHOLE);
+    let spent = flood.end();
+    held(&fleet, &spent, WHOLE);
     let over = fleet
         .lines(first)
         .iter()
@@ -231,7 +264,45 @@
     [2, 3, 5].into_iter().for_each(|at| fleet.kill(at));
     let (rest, floors) = (fleet.everyone(), WHOLE * 0.2 / 6.0 * 3.0);
     fleet.until_parts(SOON, &rest, |parts| out(parts) > (WHOLE - floors) * 0.99).unwrap();
-    held(&fleet, flood.end(&fleet), WHOLE);
+    held(&fleet, &flood.end(), WHOLE);
+}
+
+#[test]
+fn one_joins_and_one_leaves_again_and_again_under_a_flood() {
+    let mut fleet = divided(5);
+    let flood = Flood::at(&fleet, &[0, 1, 2, 3, 4]);
+    for round in 0..6 {
+        // Voters among them, one at a time.
+        let at = [3, 1, 4, 0, 3, 2][round];
+        if round % 2 == 0 {
+            assert!(fleet.end(at, Duration::from_secs(10)));
+        } else {
+            fleet.kill(at);
+        }
+        fleet.run(at).unwrap();
+        fleet.ready(at);
+    }
+    let whole = |parts: &[BTreeMap<String, Part>]| stewards(parts) == 1 && out(parts) > WHOLE * 0.99;
+    fleet.until_parts(SOON, &fleet.everyone(), whole).unwrap();
+    held(&fleet, &flood.end(), WHOLE);
+}
+
+/// All idle, what nobody needs is spread evenly; more wanted by all than there is, nobody has less than an even part.
+#[test]
+fn idle_all_have_an_even_part_and_short_nobody_has_less() {
+    let fleet = divided(4);
+    let (all, even) = (fleet.everyone(), WHOLE / 4.0);
+    let evenly = |parts: &[BTreeMap<String, Part>]| {
+        parts.iter().all(|parts| (may(&parts[BUDGET]) - even).abs() < even * 0.05)
+    };
+    fleet.until_parts(SOON, &all, evenly).unwrap();
+    let flood = Flood::at(&fleet, &all);
+    let fair = |parts: &[BTreeMap<String, Part>]| {
+        let wanted = parts.iter().all(|parts| parts[BUDGET].wanted > WHOLE);
+        wanted && parts.iter().all(|parts| may(&parts[BUDGET]) > even * 0.9)
+    };
+    fleet.until_parts(SOON, &all, fair).unwrap();
+    held(&fleet, &flood.end(), WHOLE);
 }
 
 #[test]
@@ -248,7 +319,7 @@
     assert!(leased <= began.elapsed());
     assert!(leased < Duration::from_millis(LEASE_MS), "{leased:?}");
     assert!(fleet.ended(3, Duration::from_secs(10)));
-    held(&fleet, flood.end(&fleet), WHOLE);
+    held(&fleet, &flood.end(), WHOLE);
 }
 
 #[test]
@@ -261,7 +332,7 @@
     });
     let flood = Flood::at(&fleet, &[0, 1, 2, 3, 4]);
     sleep(Duration::from_secs(8));
-    held(&fleet, flood.end(&fleet), WHOLE);
+    held(&fleet, &flood.end(), WHOLE);
     fleet.switch.faults(|faults| *faults = rig::switch::Faults::none(5));
     fleet
         .until_parts(SOON, &fleet.everyone(), |parts| stewards(parts) == 1 && out(parts) > WHOLE * 0.99)
@@ -285,7 +356,7 @@
         sleep(Duration::from_millis(400));
     }
     fleet.until_parts(SOON, &order, |parts| (out(parts) - WHOLE / 3.0).abs() < 0.01).unwrap();
-    let _ = flood.end(&fleet);
+    let _ = flood.end();
     let named = |line: &rig::fleet::Line| {
         line.fields["message"] == "shares: files differ; the smaller whole of a voter counts"
     };
@@ -294,7 +365,7 @@
     sleep(Duration::from_millis(LEASE_MS));
     let flood = Flood::at(&fleet, &[0, 1, 2, 3]);
     sleep(Duration::from_secs(5));
-    held(&fleet, flood.end(&fleet), WHOLE / 3.0);
+    held(&fleet, &flood.end(), WHOLE / 3.0);
 }
 
 #[test]
