Holders tell whose lease they hold; a gateway that ends keeps its floor until then

Need: SHOW SHARES named the steward's number at the steward alone; a gateway that drains had not even its floor, though that stays reserved until it has ended; two reasons of refusal were counted that nothing gives. Change: leases keep their steward's number; floors last until the process ends; the two reasons are gone; laurelhitch-rig plays further blocks of the operator's file and prints what each holds at the end (examples/rig/shares.hcl).

--- a/crates/fleet/src/gateway.rs
+++ b/crates/fleet/src/gateway.rs
@@ -376,7 +376,7 @@
         // The least told first, by name among equals: the map has them in that order, and the sort keeps it. A letter holds a
         // few; of hundreds only these are looked at.
         let mut told: Vec<(u32, &Name)> = self.rumours.iter().map(|(name, left)| (*left, name)).collect();
-        told.sort_by(|a, b| b.0.cmp(&a.0));
+        told.sort_by_key(|(left, _)| std::cmp::Reverse(*left));
         let fit = room / LEAST_RECORD + 1;
         let told: Vec<Name> = told.into_iter().take(fit).map(|(_, name)| name.clone()).collect();
         for name in told {
--- a/crates/gateway/src/fleet/parts.rs
+++ b/crates/gateway/src/fleet/parts.rs
@@ -203,8 +203,6 @@
             (Refused::NoVoter, "no_voter"),
             (Refused::Unasked, "unasked"),
             (Refused::Old, "old"),
-            (Refused::Many, "many"),
-            (Refused::Beyond, "beyond"),
         ] {
             let count = self.shares.refused.get(&why).copied().unwrap_or(0);
             text += &format!("shares_refused_{name}={count} ");
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -269,7 +269,7 @@
                 spent: number(&row[8]),
                 allowed: number(&row[9]),
                 steward: row[11].clone(),
-                is_steward: row[12] != "-",
+                is_steward: row[11] == self.all[at].name,
             };
             (row[0].clone(), part)
         };
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -40,6 +40,7 @@
     if !script.block.is_empty() {
         wanted.block.clone_from(&script.block);
     }
+    wanted.further.clone_from(&script.further);
     let mut fleet = Fleet::start(wanted, &[])?;
     script.play(&mut fleet)?;
     for (at, who, what) in fleet.time_line() {
@@ -50,6 +51,19 @@
         let busy = fleet.counter(at, "busy_ms").unwrap_or(-1);
         let shown = fleet.shown(at).unwrap_or_default();
         let there = shown.there().join(" ");
+        let held = fleet.parts(at).unwrap_or_default();
+        for (budget, part) in held {
+            println!(
+                "at the end  {}  {budget}  floor {} leased {} of {}; spent {} of {} allowed; steward {}",
+                name(at),
+                part.floor,
+                part.leased,
+                part.whole,
+                part.spent,
+                part.allowed,
+                part.steward
+            );
+        }
         println!("at the end  {}  busy {busy} ms  {} of {}  {there}", name(at), shown.standing, shown.size);
     }
     for (at, carried) in fleet.switch.carried().iter().enumerate() {
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -19,6 +19,9 @@
     /// Further lines of the `fleet` blocks.
     #[serde(default)]
     pub block: String,
+    /// Further blocks of each operator's file.
+    #[serde(default)]
+    pub further: String,
     #[serde(default)]
     pub step: Vec<Step>,
 }
--- a/crates/shares/src/core.rs
+++ b/crates/shares/src/core.rs
@@ -124,9 +124,6 @@
 
     /// What it may spend a second now, of its floor and its lease.
     pub fn may_spend(&self, now: Moment, at: usize) -> Amount {
-        if self.left {
-            return Amount::ZERO;
-        }
         self.terms.budgets[at].floor + self.holder.held(now, at)
     }
 
@@ -331,7 +328,8 @@
         let me = self.me.clone();
         let granted = self.granting(now, &me, &ask);
         if let Some(amounts) = granted {
-            let _ = self.granted(now, &me.name, count, amounts);
+            let number = self.office.as_ref().map_or(0, |office| office.number);
+            let _ = self.granted(now, &me.name, count, number, amounts);
         }
     }
 
@@ -352,12 +350,19 @@
         Some(amounts)
     }
 
-    fn granted(&mut self, now: Moment, by: &Name, count: Count, amounts: Vec<Amount>) -> Result<(), Refused> {
+    fn granted(
+        &mut self,
+        now: Moment,
+        by: &Name,
+        count: Count,
+        number: u64,
+        amounts: Vec<Amount>,
+    ) -> Result<(), Refused> {
         let held = |core: &Core| -> Vec<Amount> {
             (0..core.needs.len()).map(|at| core.holder.held(now, at)).collect()
         };
         let before = held(self);
-        self.holder.granted(now, by, count, amounts, &self.terms)?;
+        self.holder.granted(now, by, count, number, amounts, &self.terms)?;
         // What fell is free for others once this gateway has said so; what rose and is short may rise on.
         let (after, needs) = (held(self), &self.needs);
         let all = before.iter().zip(&after).zip(needs);
@@ -374,7 +379,7 @@
         Ok(())
     }
 
-    /// It goes: what it holds is given back, and a steward's votes are free for another.
+    /// It goes: what is leased to it is given back, its floor is its own until it has ended, and a steward's votes are free for another.
     pub fn leave(&mut self, now: Moment) {
         self.look(now);
         self.holder.give_back();
@@ -440,13 +445,13 @@
                 Ok(())
             }
             Word::Ask(ask) => self.asked(now, from, &ask),
-            Word::Grant { count, amounts, .. } => {
+            Word::Grant { count, number, amounts } => {
                 let of = |budget: &crate::terms::Budget| {
                     let mark = budget.mark();
                     amounts.iter().find(|(of, _)| *of == mark).map_or(Amount::ZERO, |(_, amount)| *amount)
                 };
                 let amounts = self.terms.budgets.iter().map(of).collect();
-                self.granted(now, &from.name, count, amounts)
+                self.granted(now, &from.name, count, number, amounts)
             }
             Word::Steer { steward } => {
                 let steward = steward.filter(|name| self.terms.voters.contains(name));
--- a/crates/shares/src/holder.rs
+++ b/crates/shares/src/holder.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Lease {
     pub count: Count,
+    /// Of the steward that granted it.
+    pub number: u64,
     pub amounts: Vec<Amount>,
     /// By this gateway's own steady clock, counted from when it asked.
     pub until: Moment,
@@ -83,6 +85,7 @@
         now: Moment,
         by: &Name,
         count: Count,
+        number: u64,
         amounts: Vec<Amount>,
         terms: &Terms,
     ) -> Result<(), Refused> {
@@ -98,14 +101,14 @@
             && let Some(held) = self.lease.as_ref().filter(|held| now < held.until)
         {
             let amounts = held.amounts.iter().zip(&amounts).map(|(held, given)| *held.max(given)).collect();
-            self.lease = Some(Lease { count, amounts, until });
+            self.lease = Some(Lease { count, number, amounts, until });
             return Ok(());
         }
         // No more than its own file has to give, should the steward's differ.
         let least = amounts.iter().zip(&terms.budgets);
         let amounts =
             least.map(|(amount, budget)| (*amount).min(terms.leased(budget.whole, budget.floor))).collect();
-        self.lease = Some(Lease { count, amounts, until });
+        self.lease = Some(Lease { count, number, amounts, until });
         Ok(())
     }
 
--- a/crates/shares/src/ledger.rs
+++ b/crates/shares/src/ledger.rs
@@ -68,7 +68,7 @@
     pub me: Name,
     pub steward: Option<Name>,
     pub is_steward: bool,
-    /// Of the steward, where it is known here.
+    /// Of the steward whose lease it holds.
     pub number: Option<u64>,
     pub lines: Vec<Line>,
 }
@@ -315,7 +315,7 @@
             me: core.me().name.clone(),
             steward: core.steward(now).cloned(),
             is_steward: core.is_steward(now),
-            number: core.office(now).map(|office| office.number),
+            number: core.holder().lease(now).map(|lease| lease.number),
             lines: core.terms().budgets.iter().enumerate().map(line).collect(),
         }
     }
--- a/crates/shares/src/word.rs
+++ b/crates/shares/src/word.rs
@@ -90,10 +90,6 @@
     Unasked,
     #[error("older than one before it")]
     Old,
-    #[error("more holders than may run at once")]
-    Many,
-    #[error("beyond belief")]
-    Beyond,
 }
 
 impl Word {
