The bound on looks that hearsay asks for is taken back: starting fleets need them

Cause: a starting fleet asks its seeds faster than they answer, so they are suspected, and only many probes clear them soon. The storm under loss (100 letters a second each at 100 gateways) stays open: the seeds' answers have to be spread first. Change: look() and its default as before; what agrees is still not weighed, and only rumours that fit are copied.

--- a/crates/fleet/src/gateway.rs
+++ b/crates/fleet/src/gateway.rs
@@ -908,17 +908,15 @@
     fn look(&mut self, now: Moment) {
         let mut names: Vec<Name> = self.looks.keys().cloned().collect();
         names.shuffle(&mut self.rng);
-        // Probes that follow from hearsay count as well: under loss everybody is suspected by somebody, and uncounted they
-        // were ten a second of each gateway.
-        let mut left = self.terms.looks.saturating_sub(self.probes.looks());
         for name in names {
-            if left == 0 {
+            if self.probes.looks() >= self.terms.looks {
                 break;
             }
             let Some(at) = self.looks.remove(&name) else { continue };
             let Some(held) = self.table.get(&name).filter(|_| !self.probes.asks(&name)) else { continue };
-            // One in the fleet and where it was: a probe, which asks others too before it doubts.
-            left -= 1;
+            // One in the fleet and where it was: a probe, which asks others too before it doubts. These are not counted:
+            // under loss they are many (ten a second each, at a hundred gateways), but bounded to eight a period, a fleet of
+            // 300 that starts still held its seeds, which cannot answer all at once, for suspect twelve seconds after.
             if held.counts() && held.record.address == at {
                 self.probe(now, &name);
             } else {
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -52,7 +52,7 @@
             answers_per_s: 50.0,
             pages_per_s: 20.0,
             news_per_s: 100.0,
-            looks: 8,
+            looks: 4,
             cut_off_below: 0.5,
             accept: Span::from_secs(120.0),
             hold: Span::from_secs(2.0),
--- a/crates/lab/src/parts.rs
+++ b/crates/lab/src/parts.rs
@@ -372,7 +372,7 @@
         }
         None
     };
-    let hot = count / 2 | 1;
+    let hot = (count / 2) | 1;
     work.mesh.start(count);
     work.wants[count] = WHOLE * 0.3;
     let began = work.mesh.now;
