--- /dev/null
+++ b/crates/fleet/tests/letters.rs
@@ -0,0 +1,23 @@
+//! Which letters of a sender were seen before.
+
+use fleet::letter::Seen;
+
+#[test]
+fn each_counter_counts_once_within_the_window() {
+    let mut seen = Seen::default();
+    for (counter, first) in [
+        (1, true),
+        (1, false),
+        (5, true),
+        (3, true),
+        (3, false),
+        (4, true),
+        (200, true),
+        (100, true),
+        (71, false),
+        (5, false),
+        (200, false),
+    ] {
+        assert_eq!(seen.first(counter), first, "{counter}");
+    }
+}
