--- a/crates/admission/src/interface.rs
+++ b/crates/admission/src/interface.rs
@@ -20,6 +20,10 @@
 impl Span {
     pub const ZERO: Span = Span(0);
 
+    pub const fn from_micros(micros: i64) -> Self {
+        Span(micros)
+    }
+
     pub fn from_secs(secs: f64) -> Self {
         // A hundred years either way keeps every later sum far from overflow.
         Span(if secs.is_finite() { (secs.clamp(-3e9, 3e9) * 1e6).round() as i64 } else { 0 })
@@ -209,6 +213,8 @@
     pub estimate: Option<Span>,
     pub memory_mb: f64,
     pub key: Option<OrderKey>,
+    /// It carries the mark by which its repeats are known.
+    pub marked: bool,
     /// Beyond what its team is owed, by a queue ahead: only spare room is for it, as over an allowance.
     pub lent: bool,
     pub taken: Moment,
@@ -273,6 +279,8 @@
     Reset,
     Cancelled,
     NeverSent,
+    /// Taken back by the caller before it had left: it never ran, and tells nothing of the engine.
+    Withdrawn,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -378,7 +378,8 @@
         let product = &self.products[s.product.0];
         let (predicted, left) = (self.costs.predict(s), (s.hard_limit - now).secs());
         let (_, spare) = self.spare(now, s, predicted);
-        let hopeless = left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || spare < 0.0;
+        let too_late = self.repeat_until(s).is_some_and(|until| until <= now);
+        let hopeless = left < 0.03 || s.relays.len() >= self.relaying.most.max(1) || spare < 0.0 || too_late;
         let (hold, turn) = (product.hard_limit.secs() * HOLD, self.in_turn(now, s));
         if hopeless || !s.relays.is_empty() && !self.may_relay_again(now, s.product) {
             return self.give_up(now, s);
@@ -488,6 +489,7 @@
                 (engine.books.bound, engine.books.cut) = ((engine.books.bound * 0.8).max(1.0), now);
                 engine.health.failures += f64::from(u8::from(o.news == News::TurnedAway));
             }
+            News::Withdrawn => books.iter_mut().for_each(|b| b.left[s.product.0] += charge),
             // The charge stays, or an engine that fails fast would look the emptiest and draw the rest.
             News::Error if s.relays.len() >= SEVERAL => {}
             News::Error | News::Unreachable => engine.health.failures += 1.0,
@@ -824,7 +826,7 @@
         let fresh = relay.charge.secs() / product.threads * lag;
         let total = elapsed / done.clamp(0.001, 1.0);
         let pays = total - elapsed > 2.0 * fresh && fresh * 1.3 < left && total > 3.5 * fresh;
-        let repeatable = product.effect == Effect::Idempotent && s.relays.len() < self.relaying.most;
+        let repeatable = effect(product, s) == Effect::Idempotent && s.relays.len() < self.relaying.most;
         let cancel = self.relaying.cancel && repeatable && pays && self.may_relay_again(now, s.product);
         if cancel { After::Cancel(o.relay) } else { After::Stay }
     }
@@ -843,7 +845,7 @@
         }
         let ran = s.relays.iter().any(|r| r.state == RelayState::MayHaveRun);
         let its_own = o.news == News::Error && s.relays.len() >= SEVERAL;
-        let never_again = its_own || ran && self.products[s.product.0].effect == Effect::Unrepeatable;
+        let never_again = its_own || ran && effect(&self.products[s.product.0], s) == Effect::Unrepeatable;
         if !never_again && (s.hard_limit - now).secs() >= 0.03 && s.relays.len() < self.relaying.most {
             return After::Ask;
         }
@@ -855,7 +857,7 @@
     fn give_up(&mut self, now: Moment, s: &Statement) -> Answer {
         self.told_over(s);
         let ran = s.relays.iter().find(|r| r.state != RelayState::NeverRan);
-        let harmless = ran.is_none_or(|ran| match self.products[s.product.0].effect {
+        let harmless = ran.is_none_or(|ran| match effect(&self.products[s.product.0], s) {
             Effect::Idempotent => true,
             Effect::Deduplicated { group: RepeatGroup::All, remembered } => now - ran.sent < remembered,
             _ => false,
@@ -863,6 +865,14 @@
         if harmless { Answer::Deny { come_back: self.relaying.come_back } } else { Answer::Scrap }
     }
 
+    /// Rule 2 in time: a repeat that leaves later may meet an engine that has forgotten the first.
+    pub fn repeat_until(&self, s: &Statement) -> Option<Moment> {
+        let Effect::Deduplicated { remembered, .. } = effect(&self.products[s.product.0], s) else {
+            return None;
+        };
+        s.relays.iter().find(|r| r.state != RelayState::NeverRan).map(|ran| ran.sent + remembered)
+    }
+
     fn turn(&mut self, s: &Statement) -> Option<&mut Turn> {
         self.turn_key(s).and_then(|key| self.turns.get_mut(&key))
     }
@@ -906,6 +916,12 @@
     }
 }
 
+/// Without its mark no engine knows a repeat.
+fn effect(product: &Product, s: &Statement) -> Effect {
+    let unknown = !s.marked && matches!(product.effect, Effect::Deduplicated { .. });
+    if unknown { Effect::Unrepeatable } else { product.effect }
+}
+
 fn quoted(product: &Product, cpu: f64) -> f64 {
     product.quoted.secs() + product.quoted_stretch * cpu / product.threads
 }
@@ -924,7 +940,7 @@
 fn allowed(product: &Product, s: &Statement, fact: &EngineFact, now: Moment) -> bool {
     let placed = product.locations.as_ref().is_none_or(|of| of.contains(&fact.location))
         && product.machines.as_ref().is_none_or(|of| of.contains(&fact.machine));
-    let again = |ran: &Relay| match product.effect {
+    let again = |ran: &Relay| match effect(product, s) {
         Effect::Idempotent => true,
         Effect::Unrepeatable => false,
         Effect::Deduplicated { remembered, .. } if now - ran.sent >= remembered => false,
--- a/crates/admission/tests/decisions.rs
+++ b/crates/admission/tests/decisions.rs
@@ -139,6 +139,7 @@
             estimate: Some(span(estimate)),
             memory_mb: 0.0,
             key: key.map(OrderKey),
+            marked: true,
             lent: false,
             taken: now,
             hard_limit: now + self.budget.map_or(self.products[product].hard_limit, span),
@@ -253,7 +254,7 @@
         }
         relay.state = match news {
             News::Progress(_) | News::Strained => RelayState::Out,
-            News::TurnedAway | News::Unreachable | News::NeverSent => RelayState::NeverRan,
+            News::TurnedAway | News::Unreachable | News::NeverSent | News::Withdrawn => RelayState::NeverRan,
             _ => RelayState::MayHaveRun,
         };
         let latency = at(self.now) - relay.sent;
@@ -606,6 +607,7 @@
         estimate: Some(span(0.01)),
         memory_mb: 0.0,
         key: None,
+        marked: true,
         lent: false,
         taken: at(now),
         hard_limit: at(now + 4.0),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,8 @@
     pub estimate: Option<Span>,
     pub memory_mb: f64,
     pub key: Option<OrderKey>,
+    /// It carries the mark by which its repeats are known.
+    pub marked: bool,
     /// How long its client still waits.
     pub budget: Span,
 }
@@ -31,6 +33,8 @@
     pub rank: Option<u8>,
     /// The statement's rank differs from that of its relay before.
     pub rank_changed: bool,
+    /// A repeat that has not left by then must not leave any more.
+    pub leave_by: Option<Moment>,
     /// The CPU it is charged until its outcome tells.
     pub charge: Span,
     /// The statement was relayed before.
@@ -80,11 +84,13 @@
     /// Emptied by the final answer and the end of the last relay.
     hand: BTreeMap<StatementId, InHand>,
     line: BTreeSet<Place>,
+    /// The gateway ends then; what is taken later is to be answered by then too.
+    answer_by: Option<Moment>,
 }
 
 impl Dispatch {
     pub fn new(policy: Policy) -> Self {
-        Dispatch { policy, hand: BTreeMap::new(), line: BTreeSet::new() }
+        Dispatch { policy, hand: BTreeMap::new(), line: BTreeSet::new(), answer_by: None }
     }
 
     /// Takes a statement. One that is in hand already stays as it is.
@@ -100,6 +106,7 @@
         if self.hand.contains_key(&id) {
             return false;
         }
+        let hard_limit = now + wants.budget;
         let statement = Statement {
             id,
             product: wants.product,
@@ -108,9 +115,10 @@
             estimate: wants.estimate,
             memory_mb: wants.memory_mb,
             key: wants.key,
+            marked: wants.marked,
             lent: false,
             taken: now,
-            hard_limit: now + wants.budget,
+            hard_limit: self.answer_by.map_or(hard_limit, |by| by.min(hard_limit)),
             held_since: now,
             place: None,
             relays: Vec::new(),
@@ -162,9 +170,11 @@
         pick
     }
 
-    /// The queue cannot keep an entered statement; about so long until it could have.
+    /// A statement with nothing out is kept no longer: a queue has no room for it, or its client has left. `back`:
+    /// about so long until it would be kept.
     pub fn turn_away(&mut self, now: Moment, id: StatementId, back: Span) -> Pick {
         let Some(in_hand) = self.hand.get_mut(&id) else { return Pick::Held };
+        in_hand.statement.place.map(|place| self.line.remove(&place));
         let answer = self.policy.turn_away(now, &in_hand.statement, back);
         in_hand.over = true;
         self.forget(id);
@@ -207,7 +217,9 @@
         }
         match news {
             News::Progress(_) | News::Strained | News::Streaming => {}
-            News::TurnedAway | News::Unreachable | News::NeverSent => out.state = RelayState::NeverRan,
+            News::TurnedAway | News::Unreachable | News::NeverSent | News::Withdrawn => {
+                out.state = RelayState::NeverRan;
+            }
             _ => out.state = RelayState::MayHaveRun,
         }
         let settled = settled || in_hand.over;
@@ -300,6 +312,7 @@
 
     /// The gateway ends: what is in hand is to be answered by then.
     pub fn answer_by(&mut self, by: Moment) {
+        self.answer_by = Some(by);
         for in_hand in self.hand.values_mut() {
             in_hand.statement.hard_limit = in_hand.statement.hard_limit.min(by);
         }
@@ -329,6 +342,7 @@
                 let (again, trial) = (!in_hand.statement.relays.is_empty(), relay.trial);
                 let rank_changed = rank.is_some() && rank != in_hand.rank;
                 in_hand.rank = rank.or(in_hand.rank);
+                let leave_by = self.policy.repeat_until(&in_hand.statement);
                 in_hand.statement.relays.push(relay);
                 let hard_limit = in_hand.statement.hard_limit;
                 let due = limit.map_or(hard_limit, |limit| hard_limit.min(now + limit));
@@ -340,6 +354,7 @@
                     due,
                     rank,
                     rank_changed,
+                    leave_by,
                     charge,
                     again,
                     trial,
--- a/crates/dispatch/tests/random.rs
+++ b/crates/dispatch/tests/random.rs
@@ -13,6 +13,7 @@
 const ENGINES: u32 = 4;
 const STEP_S: f64 = 0.02;
 const MOST: usize = 4;
+const WINDOW_S: f64 = 1.0;
 
 fn span(secs: f64) -> Span {
     Span::from_secs(secs)
@@ -35,7 +36,7 @@
 
 fn effects() -> [Effect; 3] {
     let group = RepeatGroup::All;
-    [Effect::Idempotent, Effect::Deduplicated { group, remembered: span(1.0) }, Effect::Unrepeatable]
+    [Effect::Idempotent, Effect::Deduplicated { group, remembered: span(WINDOW_S) }, Effect::Unrepeatable]
 }
 
 fn dispatch(seed: u64) -> Dispatch {
@@ -60,11 +61,26 @@
     effect: usize,
     hard_limit: f64,
     out: Option<Order>,
+    sent: f64,
     relays: usize,
     may_have_run: bool,
+    /// Of the first that may have run.
+    first_sent: Option<f64>,
+    marked: bool,
     answered: bool,
 }
 
+impl Seen {
+    /// Nothing drops its repeats: it may not run twice.
+    fn never_twice(&self) -> bool {
+        match effects()[self.effect] {
+            Effect::Idempotent => false,
+            Effect::Deduplicated { .. } => !self.marked,
+            Effect::Unrepeatable => true,
+        }
+    }
+}
+
 struct Day {
     dispatch: Dispatch,
     rng: Pcg64Mcg,
@@ -72,6 +88,8 @@
     next: u64,
     seen: BTreeMap<StatementId, Seen>,
     stages: BTreeMap<u32, Stage>,
+    /// The gateway ends then.
+    answer_by: f64,
 }
 
 impl Day {
@@ -90,9 +108,11 @@
             estimate: Some(span(self.rng.random_range(0.01..0.5))),
             memory_mb: 10.0,
             key: None,
+            marked: self.rng.random_bool(0.8),
             budget: span(budget),
         };
-        self.seen.insert(id, Seen { effect, hard_limit: self.now + budget, ..Seen::default() });
+        let (hard_limit, marked) = ((self.now + budget).min(self.answer_by), wants.marked);
+        self.seen.insert(id, Seen { effect, hard_limit, marked, ..Seen::default() });
         let pick = self.dispatch.pick(self.at(), id, &wants);
         self.picked(id, pick);
     }
@@ -107,10 +127,16 @@
                     "{id:?}: a second relay out, or one after the end"
                 );
                 assert_eq!(self.stages[&order.engine.0], Stage::Ready, "{id:?}: sent to {:?}", order.engine);
-                assert!(!(seen.may_have_run && effects()[seen.effect] == Effect::Unrepeatable));
+                assert!(!(seen.may_have_run && seen.never_twice()));
+                // A repeat stays within the window, and says until when it may leave.
+                let window = matches!(effects()[seen.effect], Effect::Deduplicated { .. }) && seen.marked;
+                let until = seen.first_sent.filter(|_| window).map(|sent| sent + WINDOW_S);
+                assert!(until.is_none_or(|until| self.now < until), "{id:?}: past its window");
+                assert_eq!(order.leave_by, until.map(Moment::from_secs), "{id:?}");
                 assert_eq!(usize::from(order.relay.0), seen.relays);
                 assert!(order.due <= Moment::from_secs(seen.hard_limit));
                 seen.relays += 1;
+                seen.sent = self.now;
                 assert!(seen.relays <= MOST);
                 seen.out = Some(order);
             }
@@ -128,8 +154,8 @@
             "{id:?}: late by {}",
             self.now - seen.hard_limit
         );
-        let unrepeatable = effects()[seen.effect] == Effect::Unrepeatable;
-        assert!(!(denied && seen.may_have_run && unrepeatable), "{id:?}: denied though it may have run");
+        let never = seen.may_have_run && seen.never_twice();
+        assert!(!(denied && never), "{id:?}: denied though it may have run");
         seen.answered = true;
     }
 
@@ -137,10 +163,11 @@
         let seen = self.seen.get_mut(&id).expect("never taken");
         let note = matches!(news, News::Progress(_) | News::Strained);
         let completed = matches!(news, News::Completed { .. });
-        let never = matches!(news, News::TurnedAway | News::NeverSent | News::Unreachable);
+        let never = matches!(news, News::TurnedAway | News::NeverSent | News::Unreachable | News::Withdrawn);
         if !note {
-            seen.out = None;
+            let sent = seen.out.take().map(|_| seen.sent);
             seen.may_have_run |= !never;
+            seen.first_sent = seen.first_sent.or(sent.filter(|_| !never));
         }
         let settled = completed && !seen.answered;
         if settled {
@@ -168,6 +195,7 @@
                 12 => News::Unreachable,
                 13 => News::Progress(self.rng.random_range(0.0..1.0)),
                 14 => News::Strained,
+                15 => News::Withdrawn,
                 _ => continue,
             };
             self.report(id, order.relay, news);
@@ -176,8 +204,9 @@
                 let again = self.dispatch.report(self.at(), id, order.relay, News::Error, span(0.1), false);
                 assert!(again == Verdict::Nothing || self.seen[&id].out.is_some());
                 if self.seen[&id].out.is_some_and(|out| out.relay == order.relay) {
-                    self.seen.get_mut(&id).expect("taken").out = None;
-                    self.seen.get_mut(&id).expect("taken").may_have_run = true;
+                    let seen = self.seen.get_mut(&id).expect("taken");
+                    (seen.out, seen.may_have_run) = (None, true);
+                    seen.first_sent = seen.first_sent.or(Some(seen.sent));
                     match again {
                         Verdict::Deny { .. } => self.answered(id, true),
                         Verdict::Scrap => self.answered(id, false),
@@ -202,6 +231,14 @@
             // No answer is owed; one that still came would be the second.
             self.seen.get_mut(&id).expect("taken").answered = true;
         }
+        // Clients leave while they wait, with nothing out: one answer then, and nothing sent after it.
+        let waits = |seen: &Seen| !seen.answered && seen.out.is_none();
+        let waiting = self.seen.iter().rfind(|(_, seen)| waits(seen)).map(|(id, _)| *id);
+        if let Some(id) = waiting.filter(|_| self.rng.random_bool(0.05)) {
+            let pick = self.dispatch.turn_away(self.at(), id, span(1.0));
+            assert!(matches!(pick, Pick::Deny { .. } | Pick::Scrap), "{id:?}: {pick:?}");
+            self.picked(id, pick);
+        }
         let tick = self.dispatch.tick(self.at());
         assert!(tick.wait > Span::ZERO);
         for (id, pick) in tick.due {
@@ -229,10 +266,19 @@
             next: 0,
             seen: BTreeMap::new(),
             stages: (1..=ENGINES).map(|id| (id, Stage::Ready)).collect(),
+            answer_by: f64::INFINITY,
         };
         let list = (1..=ENGINES).map(|id| engine(id, Stage::Ready)).collect();
         day.dispatch.told_list(day.at(), &ListNews::Whole(list));
         (0..600).for_each(|_| day.step());
+        // It ends: what is in hand and what still comes is answered by then.
+        day.answer_by = day.now + 0.5;
+        day.dispatch.answer_by(Moment::from_secs(day.answer_by));
+        let by = day.answer_by;
+        day.seen.values_mut().for_each(|seen| seen.hard_limit = seen.hard_limit.min(by));
+        let cut = |order: &mut Order| order.due = order.due.min(Moment::from_secs(by));
+        day.seen.values_mut().for_each(|seen| seen.out.iter_mut().for_each(cut));
+        (0..25).for_each(|_| day.step());
         true
     }
     QuickCheck::new().rng(Gen::from_size_and_seed(100, 5)).tests(40).quickcheck(day as fn(u64) -> bool);
@@ -250,6 +296,7 @@
         estimate: Some(span(0.1)),
         memory_mb: 0.0,
         key: None,
+        marked: true,
         budget: span(60.0),
     };
     let id = StatementId(1);
--- a/crates/gateway/src/board/list.rs
+++ b/crates/gateway/src/board/list.rs
@@ -97,6 +97,8 @@
 pub struct Told {
     pub news: ListNews,
     pub addresses: Vec<(EngineId, Option<SocketAddr>)>,
+    /// Engines that take nothing new from here on.
+    pub closed: Vec<EngineId>,
 }
 
 impl Names {
@@ -113,12 +115,13 @@
     }
 
     pub fn told(&mut self, change: &Change) -> Told {
-        let mut addresses = Vec::new();
+        let (mut addresses, mut closed) = (Vec::new(), Vec::new());
         if change.whole {
             // Whoever is not in a whole list is gone.
             let listed = |uid: &String| change.targets.iter().any(|target| target.uid == *uid);
             let gone = self.engines.extract_if(.., |uid, _| !listed(uid));
             addresses.extend(gone.map(|(_, id)| (id, None)));
+            closed.extend(addresses.iter().map(|(id, _)| *id));
         }
         let mut facts = Vec::new();
         for target in &change.targets {
@@ -131,6 +134,7 @@
                 self.engines.remove(&target.uid);
             }
             addresses.push((id, (!gone).then_some(target.address)));
+            closed.extend((target.stage != Stage::Ready).then_some(id));
             // Names that the settings do not hold stand past their end, where no product is bound.
             let place = |of: &[String], name: &String| of.iter().position(|n| n == name).unwrap_or(of.len());
             facts.push(EngineFact {
@@ -144,6 +148,6 @@
             });
         }
         let news = if change.whole { ListNews::Whole(facts) } else { ListNews::Changes(facts) };
-        Told { news, addresses }
+        Told { news, addresses, closed }
     }
 }
--- a/crates/gateway/src/board/mod.rs
+++ b/crates/gateway/src/board/mod.rs
@@ -8,6 +8,8 @@
 use std::net::SocketAddr;
 
 use admission::interface::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use tracing::{debug, info, warn};
 
 use http::Answered;
@@ -44,11 +46,13 @@
     last: u64,
     ask_at: Option<Moment>,
     wait: Span,
+    /// Of a fleet that loses its board in one instant each gateway asks again at an instant of its own.
+    rng: Pcg64Mcg,
     events: Vec<Event>,
 }
 
 impl Board {
-    pub fn new(handle: &Loop, address: SocketAddr, last: u64, now: Moment) -> Self {
+    pub fn new(handle: &Loop, address: SocketAddr, last: u64, seed: u64, now: Moment) -> Self {
         Board {
             handle: handle.clone(),
             address,
@@ -57,6 +61,7 @@
             last,
             ask_at: Some(now),
             wait: Span::from_secs(FIRST_WAIT_S),
+            rng: Pcg64Mcg::seed_from_u64(seed),
             events: Vec::new(),
         }
     }
@@ -140,7 +145,8 @@
         counters.polls_failed += 1;
         debug!(why, "poll failed");
         if self.polls.values().all(|poll| poll.late) {
-            self.ask_at = Some(now + self.wait);
+            let part = 0.5 + 0.5 * self.rng.random::<f64>();
+            self.ask_at = Some(now + Span::from_secs(self.wait.secs() * part));
             self.wait = Span::from_secs((self.wait.secs() * 2.0).min(LONGEST_WAIT_S));
         }
     }
--- a/crates/gateway/src/clients/comment.rs
+++ b/crates/gateway/src/clients/comment.rs
@@ -7,6 +7,9 @@
 /// Longer budgets are no client's: above all a slip of units.
 const LONGEST_BUDGET_MS: f64 = 3_600_000.0;
 
+/// Marks are 32 digits and keys 16; longer ones only cost memory.
+const LONGEST_WORD: usize = 128;
+
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum CommentError {
     #[error("no comment with fields ahead of the statement")]
@@ -29,6 +32,9 @@
     pub desk: Option<&'a str>,
     pub estimate_ms: Option<f64>,
     pub memory_mb: Option<f64>,
+    /// By which engines know a repeat, and what it keeps its order by; both go on as they came.
+    pub mark: Option<&'a str>,
+    pub key: Option<&'a str>,
     pub statement: &'a [u8],
 }
 
@@ -54,6 +60,15 @@
         Some(Ok(value)) if value.is_finite() && value >= 0.0 => Ok(Some(value)),
         Some(_) => Err(CommentError::Unusable(name)),
     };
+    // Neither may end a field or a line on its way on.
+    let plain = |name| match field(name)? {
+        Some(value)
+            if value.len() > LONGEST_WORD || !value.bytes().all(|byte| byte.is_ascii_alphanumeric()) =>
+        {
+            Err(CommentError::Unusable(name))
+        }
+        value => Ok(value),
+    };
     let rid = field("rid")?.ok_or(CommentError::Missing("rid"))?;
     let rid = <[u8; 16]>::try_from(rid.as_bytes()).map_err(|_| CommentError::Unusable("rid"))?;
     if !rid.iter().all(u8::is_ascii_hexdigit) {
@@ -74,6 +89,8 @@
         desk: field("desk")?,
         estimate_ms: number("est")?,
         memory_mb: number("mem")?,
+        mark: plain("token")?,
+        key: plain("obj")?,
         statement,
     })
 }
--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -4,6 +4,7 @@
 pub mod packets;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::net::{IpAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -34,6 +35,8 @@
 const UNREAD: usize = 4 << 10;
 /// No usual statement is larger; where memory is short, larger packets go first.
 const SMALL: usize = 8 << 10;
+/// How many sessions are looked at for the place of a new one: each may turn out to be asking just then.
+const MAKE_ROOM: usize = 8;
 /// What one session may have of a turn, so that none slows the others: so much read, so many commands.
 const ROOM: usize = 4 + packets::LARGEST;
 const COMMANDS: usize = 16;
@@ -44,6 +47,8 @@
         session: u32,
         text: Bytes,
         from: IpAddr,
+        /// When it had come: earlier than now where it stood behind another.
+        came: Moment,
     },
     /// A token, at login or later, to be judged.
     Token {
@@ -88,6 +93,14 @@
     Closing,
 }
 
+/// How a session stands that may be closed for another.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rest {
+    Over,
+    New,
+    Idle,
+}
+
 struct Session {
     socket: Socket,
     from: IpAddr,
@@ -108,6 +121,10 @@
     moved: Moment,
     /// Since when a packet has been begun and not ended.
     begun: Option<Moment>,
+    /// Since when whole packets have stood behind an open statement: their clients' time runs.
+    behind: Option<Moment>,
+    /// When its client was seen to send no more.
+    left: Option<Moment>,
     written: u64,
 }
 
@@ -122,10 +139,16 @@
         packets::waiting(&self.socket.inbox)
     }
 
-    /// May be closed for another: whether it has asked yet, and since when it stands still.
-    fn spare(&self) -> Option<(bool, Moment)> {
+    /// May be closed for another, the least first: one that has had its last word, one that never asked, one at rest;
+    /// of these the one that has stood still for longest.
+    fn spare(&self) -> Option<(Rest, Moment)> {
         let owed = self.phase == Phase::Open && (self.asked || self.socket.unwritten() > 0);
-        (!owed).then_some((self.phase == Phase::Open && self.commands > 0, self.moved))
+        let rest = match self.phase {
+            Phase::Closing => Rest::Over,
+            Phase::Open if self.commands > 0 => Rest::Idle,
+            _ => Rest::New,
+        };
+        (!owed).then_some((rest, self.moved))
     }
 
     /// A packet that is not read to its end; what follows has no meaning.
@@ -163,6 +186,8 @@
     sessions: BTreeMap<u32, Session>,
     /// Sessions with more to read or do than their part of a turn; emptied by the next.
     again: BTreeSet<u32>,
+    /// Sessions whose clients send no more, while they stand.
+    left: BTreeSet<u32>,
     news: Vec<News>,
     sweep: Moment,
 }
@@ -170,7 +195,7 @@
 impl Clients {
     pub fn new(handle: &Loop, share: usize, bound: usize, progress: bool, now: Moment) -> Self {
         let progressing = BTreeSet::new();
-        let (sessions, again, news) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
+        let (sessions, again, left, news) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new(), Vec::new());
         Clients {
             handle: handle.clone(),
             share,
@@ -182,6 +207,7 @@
             next: 0,
             sessions,
             again,
+            left,
             news,
             sweep: now,
         }
@@ -196,22 +222,67 @@
     /// Against clients that keep their connection for good, or connect by the hundred and say nothing. Those that
     /// have not asked yet go first, the oldest of them; but so many may always be on their way in that one who
     /// just came has the time to ask: then the longest idle goes.
-    fn make_room(&mut self, counters: &mut Counters) {
-        if self.sessions.len() < self.share {
-            return;
+    fn make_room(&mut self, now: Moment, counters: &mut Counters) {
+        for _ in 0..MAKE_ROOM {
+            if self.sessions.len() < self.share {
+                return;
+            }
+            let (mut new, mut oldest) = (0, [None; 3]);
+            for (id, session) in &self.sessions {
+                let Some((rest, since)) = session.spare() else { continue };
+                new += usize::from(rest == Rest::New);
+                let oldest = &mut oldest[rest as usize];
+                *oldest = oldest.map_or(Some((since, *id)), |old: (Moment, u32)| Some(old.min((since, *id))));
+            }
+            let [over, new_one, idle_one] = oldest;
+            let crowd = new as f64 > self.share as f64 * NEW_SHARE;
+            let goes = if crowd { new_one.or(idle_one) } else { idle_one.or(new_one) };
+            let Some((_, id)) = over.or(goes) else { return };
+            // One that asks in this very moment is none to spare, and another goes.
+            if self.at_rest(now, id, counters) {
+                counters.sessions_crowded += 1;
+                self.sessions.get_mut(&id).into_iter().for_each(|session| session.socket.finish());
+                self.end(id, counters);
+            }
+        }
+    }
+
+    /// The last look before a session is closed: nothing whole has come since it was read. What has is worked off, and the
+    /// session stays for its answer.
+    fn at_rest(&mut self, now: Moment, id: u32, counters: &mut Counters) -> bool {
+        let Some(session) = self.sessions.get_mut(&id) else { return true };
+        session.socket.news();
+        if session.phase == Phase::Closing || self.read(id).is_err() {
+            return true;
+        }
+        let rests = self.sessions.get(&id).is_none_or(|session| !session.whole());
+        if !rests {
+            self.work(now, id, counters);
         }
-        let (mut new, mut oldest) = (0, [None; 2]);
-        for (id, session) in &self.sessions {
-            let Some((asked, since)) = session.spare() else { continue };
-            new += usize::from(!asked);
-            let oldest = &mut oldest[usize::from(asked)];
-            *oldest = oldest.map_or(Some((since, *id)), |old: (Moment, u32)| Some(old.min((since, *id))));
+        rests
+    }
+
+    /// Ends a session that rests: our side is shut first and its client read until it closes too. Closed at once, what
+    /// may still come would have the machine reset the connection, and throw away what was written before.
+    fn part(&mut self, now: Moment, id: u32, counters: &mut Counters) {
+        if self.at_rest(now, id, counters)
+            && let Some(session) = self.sessions.get_mut(&id)
+        {
+            (session.phase, session.moved) = (Phase::Closing, now);
+            self.work(now, id, counters);
+        }
+    }
+
+    /// The gateway ends, and nothing is owed: ends all sessions so. False: something came in this very moment.
+    pub fn part_all(&mut self, now: Moment, counters: &mut Counters) -> bool {
+        let all: Vec<u32> = self.sessions.keys().copied().collect();
+        // First a look at all, so that what came is answered before anybody is sent away.
+        let ask = all.iter().filter(|id| !self.at_rest(now, **id, counters)).count();
+        let quiet = ask == 0 && self.all_quiet() && !self.has_news();
+        if quiet {
+            all.into_iter().for_each(|id| self.part(now, id, counters));
         }
-        let [new_one, idle_one] = oldest;
-        let crowd = new as f64 > self.share as f64 * NEW_SHARE;
-        let goes = if crowd { new_one.or(idle_one) } else { idle_one.or(new_one) };
-        counters.sessions_crowded += u64::from(goes.is_some());
-        goes.into_iter().for_each(|(_, id)| self.end(id, counters));
+        quiet
     }
 
     pub fn len(&self) -> usize {
@@ -236,7 +307,7 @@
     }
 
     pub fn accept(&mut self, now: Moment, stream: TcpStream, from: IpAddr, counters: &mut Counters) {
-        self.make_room(counters);
+        self.make_room(now, counters);
         // Zero is what an unset connection id reads as.
         self.next = self.next.checked_add(1).unwrap_or(1);
         let id = self.next;
@@ -258,6 +329,8 @@
             commands: 0,
             moved: now,
             begun: None,
+            behind: None,
+            left: None,
             written: 0,
         };
         session.socket.put(&packets::greeting(id, self.progress, self.tls.is_some()));
@@ -276,15 +349,32 @@
         std::mem::take(&mut self.again).into_iter().for_each(|id| self.work(now, id, counters));
     }
 
-    /// Reads a part and works off whole packets, up to the next statement.
-    fn work(&mut self, now: Moment, id: u32, counters: &mut Counters) {
-        let Some(session) = self.sessions.get_mut(&id) else { return };
+    /// Reads what there is room for.
+    fn read(&mut self, id: u32) -> io::Result<()> {
+        let Some(session) = self.sessions.get_mut(&id) else { return Ok(()) };
         let before = session.socket.inbox.len();
         let read = session.socket.flush().and_then(|()| session.socket.fill(ROOM));
         self.unread += session.socket.inbox.len() - before;
-        if read.is_err() {
+        read
+    }
+
+    /// Reads a part and works off whole packets, up to the next statement.
+    fn work(&mut self, now: Moment, id: u32, counters: &mut Counters) {
+        if self.read(id).is_err() {
             return self.end(id, counters);
         }
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        // Where there is no room to read up to it, the end has to be asked for.
+        let full = session.asked && session.socket.inbox.len() >= ROOM;
+        let left = session.socket.ended
+            || match full.then(|| session.socket.hung_up()).transpose() {
+                Ok(left) => left.unwrap_or(false),
+                Err(_) => return self.end(id, counters),
+            };
+        if left {
+            session.left.get_or_insert(now);
+            self.left.insert(id);
+        }
         for _ in 0..COMMANDS {
             let Some(session) = self.sessions.get_mut(&id) else { return };
             if session.held() {
@@ -298,7 +388,7 @@
                 Ok(None) if crowded => session.turn_away(now, "too many large packets at once"),
                 Ok(Some(packet)) => {
                     (session.seq, session.moved, session.begun) = (packet.seq, now, None);
-                    self.packet(id, &packet.body, counters);
+                    self.packet(now, id, &packet.body, counters);
                 }
                 Ok(None) => break,
                 Err(too_large) => session.turn_away(now, &too_large.to_string()),
@@ -310,6 +400,8 @@
             self.unread -= session.socket.inbox.len();
             session.socket.inbox.clear();
         }
+        let behind = session.asked && session.whole();
+        session.behind = session.behind.filter(|_| session.whole()).or(behind.then_some(now));
         let begun = !session.held() && !session.socket.inbox.is_empty();
         session.begun = session.begun.filter(|_| begun).or(begun.then_some(now));
         // What is held goes on with its answer, or when its client has read.
@@ -338,7 +430,7 @@
         }
     }
 
-    fn packet(&mut self, id: u32, body: &[u8], counters: &mut Counters) {
+    fn packet(&mut self, now: Moment, id: u32, body: &[u8], counters: &mut Counters) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let answer = Answer::to(session.seq);
         if let Some(tls) = &self.tls
@@ -423,7 +515,8 @@
                 Query::Statement => {
                     session.asked = true;
                     let (text, from) = (Bytes::copy_from_slice(text), session.from);
-                    self.news.push(News::Asked { session: id, text, from });
+                    let came = session.behind.unwrap_or(now);
+                    self.news.push(News::Asked { session: id, text, from, came });
                 }
                 Query::Fleet => {
                     session.asked = true;
@@ -452,6 +545,10 @@
         self.tls = Some(tls);
     }
 
+    pub fn stands(&self, id: u32) -> bool {
+        self.sessions.contains_key(&id)
+    }
+
     pub fn from(&self, id: u32) -> IpAddr {
         self.sessions.get(&id).map_or(IpAddr::from([0; 4]), |session| session.from)
     }
@@ -526,29 +623,44 @@
         whole: bool,
         counters: &mut Counters,
     ) -> Option<Option<StatementId>> {
-        let statement = self.sessions.get(&id)?.statement;
+        let session = self.sessions.get_mut(&id)?;
+        let statement = session.statement;
+        if whole {
+            // First of all, or its answer would let the next command be read.
+            (session.phase, session.moved) = (Phase::Closing, now);
+        }
         if statement.is_some() {
             let interrupted =
                 |answer: Answer| answer.error(1317, b"70100", "Query execution was interrupted");
             self.answer(now, id, counters, interrupted);
         }
         if whole {
-            self.end(id, counters);
+            self.work(now, id, counters);
         }
         Some(statement)
     }
 
+    /// Statements whose client sends no more, and was seen to before this turn or before they were taken in it.
+    pub fn left(&self) -> Vec<(StatementId, Moment)> {
+        let open = |id: &u32| {
+            let session = self.sessions.get(id)?;
+            Some((session.statement?, session.left?))
+        };
+        self.left.iter().filter_map(open).collect()
+    }
+
     fn end(&mut self, id: u32, counters: &mut Counters) {
         let Some(session) = self.sessions.remove(&id) else { return };
         counters.sessions_closed += 1;
         self.progressing.remove(&id);
+        self.left.remove(&id);
         self.unread -= session.socket.inbox.len();
         self.news.extend(session.statement.map(News::Left));
     }
 
     pub fn next_due(&self, now: Moment) -> Option<Moment> {
         let sweep = (!self.sessions.is_empty()).then_some(self.sweep);
-        if self.again.is_empty() { sweep } else { Some(now) }
+        if self.again.is_empty() && self.news.is_empty() { sweep } else { Some(now) }
     }
 
     pub fn expire(&mut self, now: Moment, counters: &mut Counters) {
@@ -557,7 +669,11 @@
         }
         self.sweep = now + Span::from_secs(SWEEP_S);
         let over = self.sessions.iter().filter(|(_, session)| session.over(now));
-        let over: Vec<u32> = over.map(|(id, _)| *id).collect();
-        over.into_iter().for_each(|id| self.end(id, counters));
+        // Who does not read would not read our last word either.
+        let stuck = |session: &Session| session.phase == Phase::Closing || session.socket.unwritten() > 0;
+        let over: Vec<(u32, bool)> = over.map(|(id, session)| (*id, stuck(session))).collect();
+        for (id, stuck) in over {
+            if stuck { self.end(id, counters) } else { self.part(now, id, counters) }
+        }
     }
 }
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -11,7 +11,7 @@
 
 use crate::config::{Config, ConfigError, Operated};
 use crate::credentials;
-use crate::lifecycle::Lifecycle;
+use crate::lifecycle::{self, Lifecycle};
 use crate::status;
 
 /// A front for query engines with limited memory.
@@ -136,6 +136,7 @@
 }
 
 fn serve(operator: Option<PathBuf>, format: LogFormat) -> Done {
+    let signals = lifecycle::signals()?;
     let level = EnvFilter::try_from_env("LAURELHITCH_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
     let log = tracing_subscriber::fmt().with_env_filter(level).with_writer(std::io::stderr).with_ansi(false);
     match format {
@@ -145,14 +146,14 @@
     let path = configured(None)?;
     let config = Config::read(&path)?;
     let operated = Operated::read(operator, &config)?;
-    Lifecycle::start(path, config, operated)?.run()?;
+    Lifecycle::start(signals, path, config, operated)?.run()?;
     Ok(())
 }
 
 fn check(operator: Option<PathBuf>, config: Option<PathBuf>) -> Done {
     let path = configured(config)?;
     let config = Config::read(&path)?;
-    config.settings.policy(config.seed)?;
+    config.settings.policy(config.seed, crate::service::WAY)?;
     println!("configuration {}: gateway {}, listens on {}", path.display(), config.name, config.listen);
     println!("  products: {}", config.settings.product_names()?.join(", "));
     println!("  members: {}", config.settings.tenant_names()?.join(", "));
--- a/crates/gateway/src/engines/lines.rs
+++ b/crates/gateway/src/engines/lines.rs
@@ -109,12 +109,29 @@
 }
 
 /// A relay as the engine reads it.
-pub fn relay(rid: &Rid, product: &str, max_ms: u64, rank: Option<u8>, statement: &[u8]) -> Vec<u8> {
-    let mut line = Vec::with_capacity(statement.len() + 96);
+/// What a statement carries through unchanged: its mark against repeats, and what it keeps its order by.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tags {
+    pub mark: Option<Box<str>>,
+    pub key: Option<Box<str>>,
+}
+
+pub fn relay(
+    rid: &Rid,
+    product: &str,
+    max_ms: u64,
+    rank: Option<u8>,
+    tags: &Tags,
+    statement: &[u8],
+) -> Vec<u8> {
+    let mut line = Vec::with_capacity(statement.len() + 192);
     line.extend(b"do ");
     line.extend(rid);
     line.extend(format!(" profile={product},max={max_ms}").as_bytes());
     rank.into_iter().for_each(|rank| line.extend(format!(",band={rank}").as_bytes()));
+    let Tags { mark, key } = tags;
+    mark.iter().for_each(|mark| line.extend(format!(",replay={mark}").as_bytes()));
+    key.iter().for_each(|key| line.extend(format!(",thing={key}").as_bytes()));
     line.extend(format!(" {}\r\n", statement.len()).as_bytes());
     line.extend(statement);
     line.extend(b"\r\n");
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::counters::Counters;
 use crate::socket::{Loop, Peer, Socket, is_shortage};
-use lines::{Answer, Rid, Word};
+use lines::{Answer, Rid, Tags, Word};
 
 /// Network fact: a result holds 48,000 bytes at most, and what stands between its values. What is past this,
 /// or in more pages, is no result, and must not fill our memory.
@@ -37,9 +37,12 @@
     pub engine: EngineId,
     pub rid: Rid,
     pub product: &'a str,
+    pub tags: &'a Tags,
     pub text: &'a [u8],
     pub due: Moment,
     pub rank: Option<u8>,
+    /// A repeat that has not left whole by then stays here.
+    pub leave_by: Option<Moment>,
     /// Connections that earlier relays of the statement went on: what still comes there is not this one's.
     pub avoid: &'a [u64],
 }
@@ -116,6 +119,8 @@
     places: HashMap<(StatementId, RelayNo), (u64, Rid)>,
     /// When relays time out; as many as relays.
     dues: BTreeSet<(Moment, StatementId, RelayNo)>,
+    /// When repeats must have left; emptied as it passes.
+    leaves: BTreeSet<(Moment, StatementId, RelayNo)>,
     reports: Vec<Report>,
 }
 
@@ -133,6 +138,7 @@
             again: BTreeSet::new(),
             places: HashMap::new(),
             dues: BTreeSet::new(),
+            leaves: BTreeSet::new(),
             reports: Vec::new(),
         }
     }
@@ -147,6 +153,22 @@
         of.into_iter().for_each(|at| self.settle(at));
     }
 
+    /// The list says that an engine drains or is gone: what has not begun to leave for it must not begin any more. A
+    /// connection that comes up late would carry it past the grace.
+    pub fn closed(&mut self, now: Moment, engine: EngineId, counters: &mut Counters) {
+        let of: Vec<u64> = self.of.get(&engine).into_iter().flatten().copied().collect();
+        for at in of {
+            let Some(connection) = self.connections.get(&at) else { continue };
+            let written = connection.socket.written;
+            let unbegun = connection.relays.iter().filter(|(_, relay)| relay.starts_at >= written);
+            let mut unbegun: Vec<(u64, Rid)> = unbegun.map(|(rid, relay)| (relay.starts_at, *rid)).collect();
+            unbegun.sort_unstable();
+            for (_, rid) in unbegun {
+                self.withdraw(now, at, &rid, News::Withdrawn, counters);
+            }
+        }
+    }
+
     pub fn open(&self) -> usize {
         self.connections.len()
     }
@@ -162,7 +184,7 @@
         let max_ms = ((o.due - now).secs() * 1e3).max(1.0) as u64;
         let connection = self.connections.get_mut(&at).expect("just chosen");
         let starts_at = connection.socket.put;
-        connection.socket.put(&lines::relay(&o.rid, o.product, max_ms, o.rank, o.text));
+        connection.socket.put(&lines::relay(&o.rid, o.product, max_ms, o.rank, o.tags, o.text));
         let relay = Relay {
             statement: o.statement,
             relay: o.relay,
@@ -176,6 +198,7 @@
         connection.relays.insert(o.rid, relay);
         self.places.insert((o.statement, o.relay), (at, o.rid));
         self.dues.insert((o.due, o.statement, o.relay));
+        self.leaves.extend(o.leave_by.map(|by| (by, o.statement, o.relay)));
         self.settle(at);
         self.flush(now, at, counters);
         Some(at)
@@ -186,18 +209,34 @@
     /// own as far as descriptors go. None: the relay was reported as never sent.
     fn connection(&mut self, now: Moment, o: &Outgoing, counters: &mut Counters) -> Option<u64> {
         let (most, address) = (self.links.multiplex, self.addresses.get(&o.engine).copied());
-        let fits = |(at, c): &(u64, &Connection)| {
-            address.is_none_or(|address| address == c.address)
-                && !c.spent
-                && c.relays.len() < most
-                && !o.avoid.contains(at)
-                && !c.relays.contains_key(&o.rid)
-        };
-        let of = self.of.get(&o.engine).into_iter().flatten().map(|at| (*at, &self.connections[at]));
-        let least = of.filter(fits).min_by_key(|(_, c)| (c.relays.len(), Reverse(c.quiet_since)));
-        let full = self.connections.len() >= self.share;
-        if let Some((at, _)) = least.filter(|(_, c)| full || c.relays.is_empty()) {
-            return Some(at);
+        loop {
+            let fits = |(at, c): &(u64, &Connection)| {
+                address.is_none_or(|address| address == c.address)
+                    && !c.spent
+                    && c.relays.len() < most
+                    && !o.avoid.contains(at)
+                    && !c.relays.contains_key(&o.rid)
+            };
+            let of = self.of.get(&o.engine).into_iter().flatten().map(|at| (*at, &self.connections[at]));
+            let least = of.filter(fits).min_by_key(|(_, c)| (c.relays.len(), Reverse(c.quiet_since)));
+            let full = self.connections.len() >= self.share;
+            let Some((at, rests)) = least.map(|(at, c)| (at, c.relays.is_empty() && c.connecting.is_none()))
+            else {
+                break;
+            };
+            if !rests {
+                if full {
+                    return Some(at);
+                }
+                break;
+            }
+            // A last look: its engine may have closed it since this turn's events were taken, and what is written on it
+            // then may have run for all that can be known.
+            self.connections.get_mut(&at).into_iter().for_each(|connection| connection.socket.news());
+            self.read(now, at, counters);
+            if self.connections.contains_key(&at) {
+                return Some(at);
+            }
         }
         let never = |news| Report {
             statement: o.statement,
@@ -295,12 +334,18 @@
         self.give_up(now, id, no, News::Cancelled, counters);
     }
 
+    /// Its client sends no more: what has not left whole stays here. Nothing is said of what has.
+    pub fn stay(&mut self, now: Moment, id: StatementId, no: RelayNo, counters: &mut Counters) -> bool {
+        let Some((at, rid)) = self.places.get(&(id, no)).copied() else { return false };
+        self.withdraw(now, at, &rid, News::Withdrawn, counters)
+    }
+
     /// No client waits for it any more: what is still to come of its result is not asked for.
     pub fn unwanted(&mut self, now: Moment, id: StatementId, no: RelayNo, counters: &mut Counters) {
-        let Some((at, rid)) = self.places.get(&(id, no)).copied() else { return };
-        if self.withdraw(now, at, &rid, counters) {
+        if self.stay(now, id, no, counters) {
             return;
         }
+        let Some((at, rid)) = self.places.get(&(id, no)).copied() else { return };
         let relay = self.connections.get_mut(&at).and_then(|connection| connection.relays.get_mut(&rid));
         relay.into_iter().for_each(|relay| relay.unwanted = true);
         self.complete(now, at, &rid, counters);
@@ -333,7 +378,8 @@
     pub fn next_due(&self, now: Moment) -> Option<Moment> {
         let relay = self.dues.first().map(|due| due.0);
         let again = (!self.again.is_empty()).then_some(now);
-        self.ends.first().map(|end| end.0).into_iter().chain(relay).chain(again).min()
+        let leave = self.leaves.first().map(|leave| leave.0);
+        self.ends.first().map(|end| end.0).into_iter().chain(relay).chain(leave).chain(again).min()
     }
 
     pub fn expire(&mut self, now: Moment, counters: &mut Counters) {
@@ -343,6 +389,10 @@
             // Gone already where the relay was; else an entry that nothing else would take out.
             self.dues.remove(&(due, id, no));
         }
+        while let Some((_, id, no)) = self.leaves.first().copied().filter(|leave| leave.0 <= now) {
+            self.leaves.pop_first();
+            self.stay(now, id, no, counters);
+        }
         while let Some((_, at)) = self.ends.first().copied().filter(|end| end.0 <= now) {
             let connection = &self.connections[&at];
             if connection.connecting.is_some() {
@@ -366,7 +416,9 @@
         let Some((at, rid)) = self.places.get(&(id, no)).copied() else { return };
         let Some(connection) = self.connections.get_mut(&at) else { return };
         let Some(relay) = connection.relays.get(&rid) else { return };
-        if relay.ends_at > connection.socket.written && self.withdraw(now, at, &rid, counters) {
+        // Not up in the statement's time tells of the engine; bytes that it did not take yet, of nobody.
+        let kept = if connection.connecting.is_some() { News::Unreachable } else { News::NeverSent };
+        if relay.ends_at > connection.socket.written && self.withdraw(now, at, &rid, kept, counters) {
             return;
         }
         let Some(connection) = self.connections.get_mut(&at) else { return };
@@ -385,7 +437,7 @@
 
     /// Takes a relay back that has not left this machine whole. It has its answer, or is about to: a connection that comes
     /// up later, or takes bytes again, must not carry it on after that. True: it is off the books, and never ran.
-    fn withdraw(&mut self, now: Moment, at: u64, rid: &Rid, counters: &mut Counters) -> bool {
+    fn withdraw(&mut self, now: Moment, at: u64, rid: &Rid, news: News, counters: &mut Counters) -> bool {
         let Some(connection) = self.connections.get_mut(&at) else { return false };
         let Some(relay) = connection.relays.get(rid) else { return false };
         let (from, to, latency) = (relay.starts_at, relay.ends_at, now - relay.sent);
@@ -404,9 +456,6 @@
             return false;
         }
         counters.relays_withdrawn += 1;
-        // Not up in the statement's time tells of the engine; bytes that it did not take yet, of nobody.
-        let coming_up = connection.connecting.is_some();
-        let news = if coming_up { News::Unreachable } else { News::NeverSent };
         self.over(now, at, rid, news, latency, Vec::new());
         if alone {
             // Nobody waits for it any more, or what it began must not be ended.
@@ -508,6 +557,11 @@
                 Ok(()) => {}
             }
             let partial = !connection.socket.inbox.is_empty();
+            if partial && connection.relays.is_empty() {
+                // Nobody asked for it, and what is put on this connection next would stand behind it.
+                counters.answers_spoilt += 1;
+                return self.end(now, at, "half an answer to nothing", counters);
+            }
             connection.begun = connection.begun.filter(|_| partial).or(partial.then_some(now));
             if !connection.socket.more() {
                 return self.settle(at);
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -45,10 +45,18 @@
 const BACKLOG: i32 = 1024;
 const ACCEPTS: usize = 32;
 
+/// How long a start waits for its first list. Then it listens all the same, and denies until one comes: who is not
+/// ready within 10 s of a restart is missed, and a notice board that is down at a start may be down for long.
+const FIRST_LIST_S: f64 = 5.0;
+/// How long those that rest have to see that we end, and to end too.
+const PART_S: f64 = 0.3;
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
-    /// No list yet, so nothing to decide on: nobody can connect.
-    Starting,
+    /// No list yet, so nothing to decide on: nobody can connect until then.
+    Starting {
+        until: Moment,
+    },
     /// Listening; nothing taken yet.
     Ready,
     Serving,
@@ -57,6 +65,10 @@
         until: Moment,
         end: Moment,
     },
+    /// All is answered and nobody can connect any more: sessions are shut, and read until their clients close too.
+    Parting {
+        end: Moment,
+    },
     Exit,
 }
 
@@ -98,8 +110,18 @@
     longest: Span,
 }
 
+/// The signals that a gateway heeds. Asked for before all else: one that comes while the program still starts waits,
+/// where it would have ended the program by the machine's own rule.
+///
+/// # Errors
+/// The machine gives none.
+pub fn signals() -> Result<Signals, StartError> {
+    let heeded = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1];
+    Ok(Signals::new(&heeded)?)
+}
+
 /// When all is answered after SIGTERM, and when the program ends at the latest.
-fn drained(longest: Span) -> (Span, Span) {
+pub fn drained(longest: Span) -> (Span, Span) {
     let longest = longest.secs().min(LONGEST_S);
     let room = (longest * ROOM_PART).min(ROOM_S);
     let by = STILL_COMING_S + longest - room;
@@ -108,12 +130,16 @@
 
 impl Lifecycle {
     /// Makes all parts and tells them what the configuration knows.
-    pub fn start(source: PathBuf, mut config: Config, operated: Operated) -> Result<Self, StartError> {
+    pub fn start(
+        signals: Signals,
+        source: PathBuf,
+        mut config: Config,
+        operated: Operated,
+    ) -> Result<Self, StartError> {
         let clock = Clock::start();
         let now = clock.now();
         let event_loop: EventLoop<'static, Ready> = EventLoop::try_new()?;
         let handle = event_loop.handle();
-        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])?;
         let note = |event: calloop::signals::Event, _: &mut (), ready: &mut Ready| {
             ready.signals.push(event.signal())
         };
@@ -123,7 +149,7 @@
         let unread = (config.memory_mb * UNREAD_SHARE * f64::from(1 << 20)) as usize;
         let clients = Clients::new(&handle, client_share, unread, operated.queues.is_some(), now);
         let engines = Engines::new(&handle, config.settings.links()?, engine_share);
-        let board = Board::new(&handle, config.board, config.known.last, now);
+        let board = Board::new(&handle, config.board, config.known.last, config.seed, now);
         let mut service = Service::new(
             now,
             &config.settings,
@@ -162,7 +188,7 @@
         }
         info!(name = config.name, "starting");
         Ok(Lifecycle {
-            phase: Phase::Starting,
+            phase: Phase::Starting { until: now + Span::from_secs(FIRST_LIST_S) },
             event_loop,
             listener: None,
             backlog: false,
@@ -244,7 +270,8 @@
         let due = if self.backlog && !self.crowded { now } else { due };
         match self.phase {
             Phase::Draining { until, .. } if until > now => due.min(until),
-            Phase::Draining { end, .. } => due.min(end),
+            Phase::Draining { end, .. } | Phase::Parting { end } => due.min(end),
+            Phase::Starting { until } => due.min(until),
             _ => due,
         }
     }
@@ -293,7 +320,7 @@
         match signal {
             Signal::SIGUSR1 => self.print(),
             Signal::SIGHUP => self.reload(now),
-            _ if matches!(self.phase, Phase::Draining { .. }) => {}
+            _ if matches!(self.phase, Phase::Draining { .. } | Phase::Parting { .. } | Phase::Exit) => {}
             _ => {
                 info!("draining");
                 let (by, end) = drained(self.longest);
@@ -411,7 +438,10 @@
 
     fn step(&mut self, now: Moment) -> Result<(), StartError> {
         self.phase = match self.phase {
-            Phase::Starting if self.service.can_decide() => {
+            Phase::Starting { until } if self.service.can_decide() || until <= now => {
+                if !self.service.can_decide() {
+                    warn!("no list yet; statements are denied until one comes");
+                }
                 self.listen()?;
                 info!(listen = %self.config.listen, "ready");
                 Phase::Ready
@@ -421,9 +451,19 @@
                 Phase::Serving
             }
             Phase::Draining { end, .. } if end <= now => Phase::Exit,
-            Phase::Draining { until, .. } if until <= now && !self.backlog && self.service.quiet() => {
-                Phase::Exit
+            Phase::Draining { until, end } if until <= now && self.service.quiet() => {
+                // What the machine has accepted counts as taken, whether or not an edge has told of it yet.
+                self.backlog = true;
+                self.accept(now);
+                let Service { clients, counters, .. } = &mut self.service;
+                if self.backlog || !clients.part_all(now, counters) {
+                    self.phase
+                } else {
+                    self.listener = None;
+                    Phase::Parting { end: end.min(now + Span::from_secs(PART_S)) }
+                }
             }
+            Phase::Parting { end } if end <= now || self.service.clients.is_empty() => Phase::Exit,
             phase => phase,
         };
         Ok(())
@@ -446,19 +486,3 @@
         );
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Both ends follow the deployment's longest hard limit: with a fixed figure, short ones are killed unanswered.
-    #[test]
-    fn draining_ends_before_the_kill_and_after_the_last_statement() {
-        for (longest, by) in [(0.2, 0.85), (1.0, 1.45), (3.0, 3.4), (15.0, 3.4)] {
-            let (answered, end) = drained(Span::from_secs(longest));
-            assert_eq!(answered, Span::from_secs(by));
-            assert!(answered.secs() > STILL_COMING_S && end > answered);
-            assert!(end.secs() < STILL_COMING_S + longest.min(LONGEST_S));
-        }
-    }
-}
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -13,7 +13,7 @@
 use identity::token::Claims;
 use identity::{Guard, Verdict as Judged};
 use queues::{DeskId, Directory, Hall, Lines, Terms};
-use settings::{Settings, SettingsError};
+use settings::{Settings, SettingsError, Way};
 use tracing::{info, warn};
 
 use crate::board::list::Names;
@@ -21,7 +21,7 @@
 use crate::clients::packets::Answer;
 use crate::clients::{self, Clients, comment};
 use crate::counters::Counters;
-use crate::engines::lines::Rid;
+use crate::engines::lines::{Rid, Tags};
 use crate::engines::{Engines, Outgoing, Report};
 use crate::fleet::Fleet;
 use crate::fleet::parts::Flow;
@@ -32,6 +32,10 @@
 /// budgets no more than this part.
 const WAYS_S: f64 = 0.06;
 const WAYS_PART: f64 = 0.1;
+/// Network fact: the longest time that what has left is on its way to an engine.
+pub const WAY: Way = Way(Span::from_micros(50_000));
+/// Longer than any client is told to stay away: the decisions cut it to what they allow.
+const LONG: Span = Span::from_micros(3_600_000_000);
 /// How long after its hard limit a statement may still be without the decisions' answer, within its budget.
 const OVERDUE_S: f64 = 0.004;
 
@@ -50,8 +54,10 @@
     /// Whose it is, where callers are known.
     caller: Option<String>,
     product: usize,
+    tags: Tags,
     text: Bytes,
     answered: bool,
+    taken: Moment,
     /// When it is answered by whatever stands here, if by nothing else.
     ends: Moment,
     /// One, where a statement may not have two out at the same time.
@@ -94,6 +100,11 @@
     listed: bool,
 }
 
+/// One number for a key that is none: two keys with one number only wait for each other.
+fn spelt(key: &str) -> u64 {
+    key.bytes().fold(1, |number, byte| number.wrapping_mul(0x0100_0000_01b3) ^ u64::from(byte))
+}
+
 fn denial(come_back: Option<Span>) -> String {
     let back = |wait: Span| format!("denied; backoff={}", (wait.secs() * 1e3).round() as u64);
     come_back.map_or("denied".to_owned(), back)
@@ -136,7 +147,7 @@
             engines,
             board,
             counters: Counters::default(),
-            hall: Hall::new(Dispatch::new(settings.policy(seed)?), lines),
+            hall: Hall::new(Dispatch::new(settings.policy(seed, WAY)?), lines),
             directory,
             fleet: None,
             guard: None,
@@ -165,6 +176,7 @@
             info!(whole = change.whole, engines = change.targets.len(), "list");
             told.addresses.into_iter().for_each(|(id, address)| self.engines.listed(id, address));
             self.hall.told_list(now, &told.news);
+            told.closed.into_iter().for_each(|id| self.engines.closed(now, id, &mut self.counters));
             self.listed |= change.whole;
         }
     }
@@ -236,6 +248,7 @@
             }
             news.into_iter().for_each(|news| self.heard(now, news));
         }
+        self.leave(now);
         if let Some(fleet) = &mut self.fleet {
             fleet.turn(now);
             let doubts = fleet.engines(now, self.hall.health(), &self.names);
@@ -348,10 +361,12 @@
 
     fn heard(&mut self, now: Moment, news: clients::News) {
         match news {
-            clients::News::Asked { session, text, from } => self.asked(now, session, &text, from),
+            clients::News::Asked { session, text, from, came } => {
+                self.asked(now, session, &text, from, now - came);
+            }
             // Without lines it is a query like any other that cannot be used.
             clients::News::Queue { session, text, .. } if self.directory.is_none() => {
-                self.asked(now, session, &text, IpAddr::from([0; 4]));
+                self.unknown(now, session, &text);
             }
             clients::News::Queue { session, id, .. } => self.tell_queue(now, session, id),
             clients::News::Fleet { session, text } => self.tell_fleet(now, session, &text),
@@ -380,6 +395,31 @@
         self.forget(id);
     }
 
+    /// Takes out what waits, wherever it does, for a client that sends no more: in line, for a connection that comes up
+    /// or for a further relay. It gets its answer all the same, since who only shut the sending side still reads. What
+    /// has left goes on; so does, for this turn, what came together with its client's end.
+    fn leave(&mut self, now: Moment) {
+        for (id, left) in self.clients.left() {
+            let Some(passing) = self.passing.get(&id).filter(|passing| !passing.answered) else { continue };
+            if left == now && passing.taken == now {
+                continue;
+            }
+            for relay in passing.out.clone() {
+                self.engines.stay(now, id, relay, &mut self.counters);
+            }
+            self.reports(now);
+            if self.passing.get(&id).is_none_or(|passing| passing.answered || !passing.out.is_empty()) {
+                continue;
+            }
+            self.counters.client_left += 1;
+            match self.hall.leave(now, id, LONG) {
+                Pick::Deny { come_back } => self.tell_denied(now, id, come_back),
+                _ => self.tell_scrapped(now, id),
+            }
+            self.forget(id);
+        }
+    }
+
     /// Other gateways are to be known from now on.
     pub fn join(&mut self, fleet: Fleet) {
         self.fleet = Some(fleet);
@@ -391,7 +431,7 @@
 
     fn tell_fleet(&mut self, now: Moment, session: u32, text: &Bytes) {
         let Some(fleet) = &mut self.fleet else {
-            return self.asked(now, session, text, IpAddr::from([0; 4]));
+            return self.unknown(now, session, text);
         };
         let rows = status::fleet(now, fleet.gateway());
         let table = |answer: Answer| answer.table(status::FLEET, &rows);
@@ -400,7 +440,7 @@
 
     fn tell_shares(&mut self, now: Moment, session: u32, text: &Bytes) {
         let Some(parts) = self.fleet.as_mut().and_then(Fleet::parts) else {
-            return self.asked(now, session, text, IpAddr::from([0; 4]));
+            return self.unknown(now, session, text);
         };
         let (steady, status) = parts.status();
         let rows = status::shares(steady, &status);
@@ -491,12 +531,25 @@
         self.clients.answer(now, session, &mut self.counters, table);
     }
 
-    fn asked(&mut self, now: Moment, session: u32, text: &Bytes, from: IpAddr) {
+    /// A question to what is not on is a query like any other that cannot be used.
+    fn unknown(&mut self, now: Moment, session: u32, text: &Bytes) {
+        self.asked(now, session, text, IpAddr::from([0; 4]), Span::ZERO);
+    }
+
+    /// `waited`: how long it has stood behind another on its session.
+    fn asked(&mut self, now: Moment, session: u32, text: &Bytes, from: IpAddr, waited: Span) {
+        // Reset in the very turn in which it came: nothing would tell any more that its client has left.
+        if !self.clients.stands(session) {
+            self.counters.statements_taken += 1;
+            self.counters.client_left += 1;
+            return;
+        }
         let wanted = self.caller(now, session).and_then(|claims| {
-            let (wants, rid, statement, desk) = self.wants(text, from, claims.as_deref())?;
-            Ok((wants, rid, statement, desk, claims.map(|claims| claims.caller.clone())))
+            let (wants, rid, tags, statement, desk) = self.wants(text, from, claims.as_deref())?;
+            let wants = Wants { budget: wants.budget - waited, ..wants };
+            Ok((wants, rid, tags, statement, desk, claims.map(|claims| claims.caller.clone())))
         });
-        let (wants, rid, statement, desk, caller) = match wanted {
+        let (wants, rid, tags, statement, desk, caller) = match wanted {
             Ok(usable) => usable,
             Err(why) => {
                 self.counters.statements_unusable += 1;
@@ -521,8 +574,9 @@
         if let Some(caller) = &caller {
             *self.open.entry(caller.clone()).or_default() += 1;
         }
+        let (text, taken) = (statement, now);
         let passing =
-            Passing { session, rid, caller, product, text: statement, answered: false, ends, out, went_on };
+            Passing { session, rid, caller, product, tags, text, answered: false, taken, ends, out, went_on };
         self.passing.insert(id, passing);
         self.rids.insert(rid, id);
         self.clients.took(session, id);
@@ -536,7 +590,7 @@
         text: &Bytes,
         from: IpAddr,
         claims: Option<&Claims>,
-    ) -> Result<(Wants, Rid, Bytes, DeskId), Unusable> {
+    ) -> Result<(Wants, Rid, Tags, Bytes, DeskId), Unusable> {
         let mut read = comment::read(text)?;
         if let Some(claims) = claims {
             let open = self.open.get(&claims.caller).copied().unwrap_or(0);
@@ -569,16 +623,21 @@
         let desk = found.map_or(DeskId(0), |found| found.desk);
         let budget_s = read.budget_ms / 1e3;
         let budget = Span::from_secs(budget_s - WAYS_S.min(budget_s * WAYS_PART));
+        // Digits of the platform's own; what is none keeps its order by its letters all the same.
+        let number = |key: &str| u64::from_str_radix(key, 16).unwrap_or_else(|_| spelt(key));
+        let key = read.key.map(number).filter(|key| *key != 0).map(OrderKey);
         let wants = Wants {
             product: ProductId(product),
             tenant: TenantId(tenant),
             group: GroupId(comment::table_group(read.statement).unwrap_or(0)),
             estimate: read.estimate_ms.filter(|ms| *ms > 0.0).map(|ms| Span::from_secs(ms / 1e3)),
             memory_mb: read.memory_mb.unwrap_or(0.0),
-            key: None,
+            key,
+            marked: read.mark.is_some(),
             budget,
         };
-        Ok((wants, read.rid, text.slice_ref(read.statement), desk))
+        let tags = Tags { mark: read.mark.map(Box::from), key: read.key.map(Box::from) };
+        Ok((wants, read.rid, tags, text.slice_ref(read.statement), desk))
     }
 
     fn picked(&mut self, now: Moment, id: StatementId, pick: Pick) {
@@ -606,9 +665,11 @@
             engine: order.engine,
             rid: passing.rid,
             product: &self.products[passing.product],
+            tags: &passing.tags,
             text: &passing.text,
             due: self.answer_by.map_or(order.due, |by| by.min(order.due)),
             rank: order.rank,
+            leave_by: order.leave_by,
             avoid: &passing.went_on,
         };
         let went_on = self.engines.send(now, &outgoing, &mut self.counters);
@@ -626,12 +687,20 @@
 
     fn deny(&mut self, now: Moment, id: StatementId, come_back: Option<Span>) {
         self.counters.denied += 1;
+        self.tell_denied(now, id, come_back);
+    }
+
+    fn tell_denied(&mut self, now: Moment, id: StatementId, come_back: Option<Span>) {
         let text = denial(come_back);
         self.answer(now, id, |answer| answer.error(1226, b"42000", &text));
     }
 
     fn scrap(&mut self, now: Moment, id: StatementId) {
         self.counters.scrapped += 1;
+        self.tell_scrapped(now, id);
+    }
+
+    fn tell_scrapped(&mut self, now: Moment, id: StatementId) {
         self.answer(now, id, |answer| answer.error(1105, b"HY000", "the statement could not be completed"));
     }
 
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -11,6 +11,7 @@
 use bytes::{Buf, BufMut, BytesMut};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::net::{AddressFamily, SocketFlags, SocketType, connect, ipproto, socket_with, sockopt};
 use rustls::{ServerConfig, ServerConnection};
 
@@ -179,6 +180,22 @@
         self.unread && !self.ended
     }
 
+    /// Whether the peer's end stands behind bytes for which there is no room. Asked for where `fill` may not read on:
+    /// an end that is only found by reading would stay unseen for as long as the bytes before it wait.
+    pub fn hung_up(&self) -> io::Result<bool> {
+        let mut of = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
+        let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+        // A machine that cannot tell has not told of an end.
+        if poll(&mut of, Some(&now)).is_err() {
+            return Ok(false);
+        }
+        let seen = of[0].revents();
+        if seen.intersects(PollFlags::ERR | PollFlags::HUP) {
+            return Err(ErrorKind::ConnectionReset.into());
+        }
+        Ok(seen.contains(PollFlags::RDHUP))
+    }
+
     pub fn put(&mut self, bytes: &[u8]) {
         self.put += bytes.len() as u64;
         match &mut self.tls {
@@ -246,43 +263,3 @@
         self.token.take().into_iter().for_each(|token| self.handle.remove(token));
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use std::net::TcpListener;
-
-    use calloop::EventLoop;
-
-    use super::*;
-
-    #[test]
-    fn what_has_not_left_is_taken_back_whole_or_not_at_all() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        let (mut far, _) = listener.accept().unwrap();
-        let event_loop: EventLoop<'_, Ready> = EventLoop::try_new().unwrap();
-        let mut socket = Socket::new(near, &event_loop.handle(), Peer::Engine(0)).unwrap();
-        socket.put(b"first ");
-        socket.flush().unwrap();
-        socket.put(b"second ");
-        socket.put(b"third ");
-        socket.put(b"fourth");
-        for (from, to, back) in [
-            // Written, in part or whole; empty; beyond what was put.
-            (0, 6, false),
-            (5, 13, false),
-            (13, 13, false),
-            (19, 40, false),
-            (13, 19, true),
-        ] {
-            assert_eq!(socket.take_back(from, to), back, "{from} to {to}");
-        }
-        assert_eq!(socket.put, 19);
-        socket.put(b"!");
-        socket.flush().unwrap();
-        drop(socket);
-        let mut got = String::new();
-        far.read_to_string(&mut got).unwrap();
-        assert_eq!(got, "first second fourth!");
-    }
-}
--- a/crates/gateway/tests/codecs.rs
+++ b/crates/gateway/tests/codecs.rs
@@ -73,7 +73,8 @@
 
 #[test]
 fn a_relay_carries_the_statement_as_it_came() {
-    let line = lines::relay(b"5eed00c0ffee0a17", "scan", 1200, Some(2), b"SELECT '\r\n'");
+    let line =
+        lines::relay(b"5eed00c0ffee0a17", "scan", 1200, Some(2), &lines::Tags::default(), b"SELECT '\r\n'");
     assert_eq!(line, b"do 5eed00c0ffee0a17 profile=scan,max=1200,band=2 11\r\nSELECT '\r\n'\r\n");
     assert_eq!(lines::page(b"5eed00c0ffee0a17", 3), b"page 5eed00c0ffee0a17 3\r\n");
 }
--- /dev/null
+++ b/crates/gateway/tests/connections.rs
@@ -0,0 +1,159 @@
+//! Connections to engines in one process with the test, so that it chooses what each turn gets to see.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use admission::interface::*;
+use calloop::EventLoop;
+use gateway::counters::Counters;
+use gateway::engines::lines::{Rid, Tags};
+use gateway::engines::{Engines, Outgoing, Report};
+use gateway::socket::{Peer, Ready};
+use settings::Links;
+
+use support::script::{Link, Script, completed, delivered};
+
+struct Turns {
+    event_loop: EventLoop<'static, Ready>,
+    engines: Engines,
+    counters: Counters,
+    now: f64,
+    next: u64,
+}
+
+const ENGINE: EngineId = EngineId(1);
+
+impl Turns {
+    fn new(engine: SocketAddr, connections: usize) -> Turns {
+        let event_loop = EventLoop::try_new().unwrap();
+        let span = Span::from_secs;
+        let links = Links { connect_timeout: span(5.0), idle: span(100.0), multiplex: 10 };
+        let mut engines = Engines::new(&event_loop.handle(), links, connections);
+        engines.listed(ENGINE, Some(engine));
+        Turns { event_loop, engines, counters: Counters::default(), now: 1000.0, next: 0 }
+    }
+
+    fn at(&self) -> Moment {
+        Moment::from_secs(self.now)
+    }
+
+    fn rid(number: u64) -> Rid {
+        format!("{number:016x}").into_bytes().try_into().unwrap()
+    }
+
+    /// One statement, without any turn before or after it.
+    fn send(&mut self, leave_by: Option<Moment>) -> (u64, Option<u64>) {
+        self.next += 1;
+        let (number, due) = (self.next, Moment::from_secs(self.now + 60.0));
+        let outgoing = Outgoing {
+            statement: StatementId(number),
+            relay: RelayNo(0),
+            engine: ENGINE,
+            rid: Self::rid(number),
+            product: "point",
+            tags: &Tags::default(),
+            text: b"SELECT 1",
+            due,
+            rank: None,
+            leave_by,
+            avoid: &[],
+        };
+        (number, self.engines.send(self.at(), &outgoing, &mut self.counters))
+    }
+
+    /// Turns until an outcome is there.
+    fn outcome(&mut self) -> Report {
+        let mut ready = Ready::default();
+        loop {
+            self.event_loop.dispatch(std::time::Duration::from_secs(10), &mut ready).unwrap();
+            for peer in std::mem::take(&mut ready.peers) {
+                let Peer::Engine(at) = peer else { panic!("{peer:?}") };
+                self.engines.ready(self.at(), at, &mut self.counters);
+            }
+            if let Some(report) = self.engines.reports().pop() {
+                return report;
+            }
+        }
+    }
+
+    fn complete_one(&mut self, script: &Script) -> (Link, Option<u64>) {
+        let (_, at) = self.send(None);
+        // Its connection comes up in the first turn, and takes the statement then.
+        let mut link = script.accept();
+        let mut ready = Ready::default();
+        self.event_loop.dispatch(std::time::Duration::from_secs(10), &mut ready).unwrap();
+        for peer in std::mem::take(&mut ready.peers) {
+            let Peer::Engine(at) = peer else { panic!("{peer:?}") };
+            self.engines.ready(self.at(), at, &mut self.counters);
+        }
+        let asked = link.asked();
+        link.say(&completed(&asked));
+        assert!(matches!(self.outcome().news, News::Completed { .. }));
+        (link, at)
+    }
+}
+
+/// Closed, reset or spoilt by its engine after this turn's events were taken: what is written on it then may have run for
+/// all that can be known, and what may not run twice would be lost.
+#[test]
+fn an_idle_connection_that_ended_in_this_very_turn_takes_nothing() {
+    for ends in ["closes", "resets", "says half a line"] {
+        let script = Script::new();
+        let mut turns = Turns::new(script.address, 4);
+        let (mut link, first) = turns.complete_one(&script);
+        let near = link.stream.local_addr().unwrap();
+        match ends {
+            "closes" => drop(link),
+            "resets" => link.reset(),
+            _ => link.say("00000000000"),
+        }
+        delivered(&[near]);
+        // No turn in between.
+        let (number, at) = turns.send(None);
+        assert!(at.is_some() && at != first, "{ends}");
+        let mut fresh = script.accept();
+        let report = std::thread::scope(|scope| {
+            let engine = scope.spawn(|| {
+                let asked = fresh.asked();
+                fresh.complete(&asked);
+                asked
+            });
+            let report = turns.outcome();
+            assert_eq!(engine.join().unwrap().id.as_bytes(), Turns::rid(number));
+            report
+        });
+        assert!(matches!(report.news, News::Completed { .. }), "{ends}: {report:?}");
+    }
+}
+
+/// With descriptors short an idle connection goes for a new one, but never the one that was just taken.
+#[test]
+fn a_claimed_connection_is_not_the_one_that_makes_room() {
+    let (script, other) = (Script::new(), Script::new());
+    let mut turns = Turns::new(script.address, 1);
+    let (mut link, first) = turns.complete_one(&script);
+    let (_, claimed) = turns.send(None);
+    assert_eq!(claimed, first);
+    // The only connection is claimed: a statement for another engine has no room, and never ran.
+    turns.engines.listed(EngineId(2), Some(other.address));
+    let outgoing = Outgoing {
+        statement: StatementId(100),
+        relay: RelayNo(0),
+        engine: EngineId(2),
+        rid: Turns::rid(100),
+        product: "point",
+        tags: &Tags::default(),
+        text: b"SELECT 1",
+        due: Moment::from_secs(turns.now + 60.0),
+        rank: None,
+        leave_by: None,
+        avoid: &[],
+    };
+    assert_eq!(turns.engines.send(turns.at(), &outgoing, &mut turns.counters), None);
+    let refused = turns.engines.reports().pop().unwrap();
+    assert_eq!((refused.statement, refused.news), (StatementId(100), News::NeverSent));
+    let asked = link.asked();
+    link.say(&completed(&asked));
+    assert!(matches!(turns.outcome().news, News::Completed { .. }));
+}
--- /dev/null
+++ b/crates/gateway/tests/endings.rs
@@ -0,0 +1,787 @@
+//! The ways in which something ends while something is owed, each made to happen in its bad order every time: by
+//! what the stand-ins at both ends do and see, and by a gateway that stands still while the order is laid out.
+//! docs/endings.md has a row for each.
+
+mod support;
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::thread::{self, sleep};
+use std::time::Instant;
+
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use toy::board::target;
+use toy::client::{Answer, Client, login_packet, packet, query_packet};
+
+use support::script::{Asked, Link, Script, completed, delivered, reset, said};
+use support::*;
+
+/// Statements may wait for long, and what is begun is never out of time: only the ending that is tried ends anything.
+fn patient(config: &mut Value) {
+    let settings = &mut config["settings"];
+    for product in 0..2 {
+        settings["Grades"][product]["GiveUpS"] = json!(600.0);
+        settings["Grades"][product]["GoalTimeS"] = json!(300.0);
+    }
+    settings["Limits"]["ConnectTimeoutS"] = json!(30.0);
+    settings["Limits"]["MaxAttempts"] = json!(6);
+}
+
+/// The same where the first product has another effect.
+fn effect(effect: &'static str, window_s: f64) -> impl FnOnce(&mut Value) {
+    move |config| {
+        patient(config);
+        let product = &mut config["settings"]["Grades"][0];
+        product["Effect"] = json!(effect);
+        (product["KeyScope"], product["WindowS"]) = (json!("all"), json!(window_s));
+    }
+}
+
+struct Text {
+    rid: String,
+    query: String,
+}
+
+fn text(mem: u32, statement: &str) -> Text {
+    let query = commented(500_000, statement).replace("mem=8", &format!("mem={mem}"));
+    Text { rid: query.split("rid=").nth(1).unwrap()[..16].to_owned(), query }
+}
+
+/// So much memory that only one such statement runs at a time.
+const LARGE: u32 = 5000;
+
+/// Sends it, and waits until the gateway's machine has it.
+fn send(client: &mut Client, text: &Text) {
+    client.stream.write_all(&query_packet(&text.query)).unwrap();
+    delivered(&[client.stream.local_addr().unwrap()]);
+}
+
+/// Ways in which a client leaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    Closes,
+    /// It sends no more, and still reads.
+    Shuts,
+    Resets,
+    Kills,
+}
+
+const WAYS: [Way; 4] = [Way::Closes, Way::Shuts, Way::Resets, Way::Kills];
+
+/// The client leaves, and the gateway's machine knows; what is returned keeps the connection open where the way does.
+fn leave(way: Way, client: Client, gateway: SocketAddr) -> Vec<TcpStream> {
+    leave_all(way, vec![client], gateway)
+}
+
+fn leave_all(way: Way, clients: Vec<Client>, gateway: SocketAddr) -> Vec<TcpStream> {
+    let mut ends: Vec<SocketAddr> =
+        clients.iter().map(|client| client.stream.local_addr().unwrap()).collect();
+    let kept: Vec<TcpStream> = clients.into_iter().flat_map(|client| left(way, client, gateway)).collect();
+    ends.extend(kept.iter().map(|stream| stream.local_addr().unwrap()));
+    delivered(&ends);
+    kept
+}
+
+fn left(way: Way, client: Client, gateway: SocketAddr) -> Vec<TcpStream> {
+    match way {
+        Way::Closes => Vec::new(),
+        Way::Shuts => {
+            client.stream.shutdown(Shutdown::Write).unwrap();
+            vec![client.stream]
+        }
+        Way::Resets => {
+            reset(&client.stream);
+            Vec::new()
+        }
+        Way::Kills => {
+            // All at once, since a gateway that stands still sends no greeting.
+            let mut other = TcpStream::connect(gateway).unwrap();
+            let kill = query_packet(&format!("KILL QUERY {}", client.connection));
+            other.write_all(&[login_packet("app", b"", "warehouse"), kill].concat()).unwrap();
+            vec![client.stream, other]
+        }
+    }
+}
+
+/// One statement that fills the engine, so that others are held: its client and its engine's side.
+fn filled(gateway: &Gateway, engine: &Script) -> (Client, Link, Asked) {
+    let (mut client, first) = (gateway.client(), text(LARGE, "SELECT 'fills'"));
+    send(&mut client, &first);
+    let mut link = engine.accept();
+    let asked = link.asked();
+    assert_eq!(asked.id, first.rid);
+    (client, link, asked)
+}
+
+fn each<T: Copy + Send + Sync>(of: &[T], case: impl Fn(T) + Sync) {
+    thread::scope(|scope| {
+        for one in of {
+            let case = &case;
+            scope.spawn(move || case(*one));
+        }
+    });
+}
+
+fn ended(gateway: Gateway) -> String {
+    gateway.signal(Signal::TERM);
+    let (status, log) = gateway.end(millis(8000));
+    assert!(status.success(), "{log}");
+    add_up(&log);
+    log
+}
+
+#[test]
+fn who_leaves_while_held_is_not_sent_on() {
+    each(&WAYS, |way| {
+        let engine = Script::new();
+        let mut gateway = Gateway::with(&[engine.address], patient);
+        let (mut first, mut link, asked) = filled(&gateway, &engine);
+        let (mut waits, held) = (gateway.client(), text(LARGE, "SELECT 'held'"));
+        send(&mut waits, &held);
+        gateway.settled();
+        let kept = leave(way, waits, gateway.listen);
+        let counts = gateway.settled();
+        // Room for it, and for the one behind it.
+        link.complete(&asked);
+        assert_eq!(rows(first.answer().unwrap()).len(), 1);
+        let last = text(LARGE, "SELECT 'last'");
+        send(&mut first, &last);
+        let next = link.asked();
+        assert_eq!(next.id, last.rid, "{way:?}: the one whose client left was sent on");
+        link.complete(&next);
+        assert_eq!(rows(first.answer().unwrap()).len(), 1);
+        assert_eq!(counter(&counts, "client_left"), 1, "{way:?}");
+        if way == Way::Shuts {
+            // It may still read, and is owed one final answer.
+            let mut reads = Client { stream: kept[0].try_clone().unwrap(), connection: 0 };
+            assert!(denied(&reads.answer().unwrap()));
+            assert!(reads.answer().is_err());
+        }
+        ended(gateway);
+    });
+}
+
+#[test]
+fn who_leaves_a_queue_is_not_sent_on() {
+    const QUEUES: &str = r#"queues {
+  default_member = "water"
+  ageing_ms      = 500
+  burst_ms       = 500
+  member "water" { cpu_s_per_s = 4.0 }
+}"#;
+    each(&WAYS, |way| {
+        let engine = Script::new();
+        let mut gateway = Gateway::operated(&[engine.address], QUEUES, patient);
+        let (mut first, mut link, asked) = filled(&gateway, &engine);
+        let (mut waits, held) = (gateway.client(), text(LARGE, "SELECT 'held'"));
+        send(&mut waits, &held);
+        let counts = gateway.settled();
+        assert_eq!(counter(&counts, "waiting"), 1, "{counts}");
+        let _kept = leave(way, waits, gateway.listen);
+        let counts = gateway.settled();
+        link.complete(&asked);
+        assert_eq!(rows(first.answer().unwrap()).len(), 1);
+        let last = text(LARGE, "SELECT 'last'");
+        send(&mut first, &last);
+        let next = link.asked();
+        assert_eq!(next.id, last.rid, "{way:?}: the one whose client left was sent on");
+        link.complete(&next);
+        assert_eq!(rows(first.answer().unwrap()).len(), 1);
+        let seen = (counter(&counts, "client_left"), counter(&counts, "queue_left"));
+        assert_eq!((seen, counter(&counts, "waiting")), ((1, 1), 0), "{way:?}");
+        ended(gateway);
+    });
+}
+
+#[test]
+fn who_leaves_while_its_connection_comes_up_is_not_sent_on() {
+    each(&WAYS, |way| {
+        let deaf = Script::deaf();
+        let mut gateway = Gateway::with(&[deaf.script.address], patient);
+        let (mut waits, held) = (gateway.client(), text(8, "SELECT 'held'"));
+        send(&mut waits, &held);
+        let counts = gateway.settled();
+        assert_eq!((counter(&counts, "relays_sent"), counter(&counts, "engines_open")), (1, 1), "{counts}");
+        let _kept = leave(way, waits, gateway.listen);
+        let counts = gateway.settled();
+        let lines = deaf.hear().listen();
+        let (mut other, last) = (gateway.client(), text(8, "SELECT 'last'"));
+        send(&mut other, &last);
+        let mut seen = Vec::new();
+        while !seen.iter().any(|line: &String| line.contains(&last.rid)) {
+            seen.push(lines.recv_timeout(millis(10_000)).expect("the last one comes"));
+        }
+        assert!(!seen.iter().any(|line| line.contains(&held.rid)), "{way:?}: {seen:?}");
+        assert_eq!(counter(&counts, "client_left"), 1, "{way:?}");
+        // Its connection went with it: nothing can carry it on any more.
+        let gone = (counter(&counts, "relays_withdrawn"), counter(&counts, "engines_open"));
+        assert_eq!(gone, (1, 0), "{way:?}");
+    });
+}
+
+#[test]
+fn who_leaves_in_the_turn_in_which_a_further_relay_is_due_is_not_sent_on() {
+    each(&WAYS, |way| {
+        let engine = Script::new();
+        let mut gateway = Gateway::with(&[engine.address], patient);
+        let (mut waits, held) = (gateway.client(), text(8, "SELECT 'held'"));
+        send(&mut waits, &held);
+        let mut link = engine.accept();
+        let asked = link.asked();
+        assert_eq!(asked.id, held.rid);
+        gateway.stop();
+        link.say(&said(&asked, "WAIT"));
+        let kept = leave(way, waits, gateway.listen);
+        gateway.go_on();
+        let counts = gateway.settled();
+        // Any further line would be of its second relay.
+        assert!(link.silent(), "{way:?}: it was sent on");
+        assert_eq!(counter(&counts, "client_left"), 1, "{way:?}: {counts}");
+        drop(kept);
+        ended(gateway);
+    });
+}
+
+#[test]
+fn a_thousand_that_leave_in_one_turn_are_all_taken_out() {
+    each(&[Way::Closes, Way::Resets], |way| {
+        let engine = Script::new();
+        let mut gateway = Gateway::with(&[engine.address], |config| {
+            patient(config);
+            config["limits"]["sockets"] = json!(4096);
+        });
+        let (mut first, mut link, asked) = filled(&gateway, &engine);
+        let clients: Vec<Client> = (0..1000)
+            .map(|_| {
+                let mut client = gateway.client();
+                client.stream.write_all(&query_packet(&text(LARGE, "SELECT 'held'").query)).unwrap();
+                client
+            })
+            .collect();
+        delivered(&clients.iter().map(|client| client.stream.local_addr().unwrap()).collect::<Vec<_>>());
+        let counts = gateway.settled();
+        assert_eq!(
+            (counter(&counts, "statements_taken"), counter(&counts, "open")),
+            (1001, 1001),
+            "{counts}"
+        );
+        gateway.stop();
+        leave_all(way, clients, gateway.listen);
+        gateway.go_on();
+        let counts = gateway.settled();
+        assert_eq!((counter(&counts, "client_left"), counter(&counts, "open")), (1000, 1), "{way:?}");
+        link.complete(&asked);
+        assert_eq!(rows(first.answer().unwrap()).len(), 1);
+        // All room is back, and no other statement came in between.
+        let last = text(LARGE, "SELECT 'last'");
+        send(&mut first, &last);
+        assert_eq!(link.asked().id, last.rid, "{way:?}");
+    });
+}
+
+#[test]
+fn what_stands_behind_the_statement_of_one_that_left_is_not_sent_on() {
+    let engine = Script::new();
+    let mut gateway = Gateway::with(&[engine.address], patient);
+    let (one, two) = (text(8, "SELECT 'one'"), text(8, "SELECT 'two'"));
+    let mut client = gateway.client();
+    client.stream.write_all(&[query_packet(&one.query), query_packet(&two.query)].concat()).unwrap();
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    let mut link = engine.accept();
+    let asked = link.asked();
+    assert_eq!(asked.id, one.rid);
+    gateway.settled();
+    // What was sent before its client left goes on, and its answer is read by one that only shut its sending side.
+    link.complete(&asked);
+    assert_eq!(rows(client.answer().unwrap())[0][1], "SELECT 'one'");
+    assert!(denied(&client.answer().unwrap()), "it was sent on");
+    assert!(client.answer().is_err());
+    assert!(link.silent());
+    ended(gateway);
+}
+
+/// With no room to read on, the end of a connection is not found by reading.
+#[test]
+fn who_leaves_behind_more_than_is_read_is_seen_to() {
+    each(&[Way::Closes, Way::Shuts, Way::Resets], |way| {
+        let engine = Script::new();
+        let mut gateway = Gateway::with(&[engine.address], patient);
+        let (_first, mut link, asked) = filled(&gateway, &engine);
+        let mut waits = gateway.client();
+        send(&mut waits, &text(LARGE, "SELECT 'held'"));
+        let behind = query_packet(&text(LARGE, &format!("SELECT '{}'", "x".repeat(10_000))).query);
+        for _ in 0..9 {
+            waits.stream.write_all(&behind).unwrap();
+        }
+        delivered(&[waits.stream.local_addr().unwrap()]);
+        let counts = gateway.settled();
+        assert_eq!(counter(&counts, "open"), 2, "{counts}");
+        let kept = leave(way, waits, gateway.listen);
+        let counts = gateway.settled();
+        assert_eq!(counter(&counts, "open"), 1, "{way:?}: {counts}");
+        assert!(counter(&counts, "client_left") >= 1, "{way:?}");
+        link.complete(&asked);
+        assert!(link.silent(), "{way:?}: it was sent on: {:?}", link.line());
+        drop(kept);
+        ended(gateway);
+    });
+}
+
+/// Nothing is known against an engine by clients that leave before their connections to it are up.
+#[test]
+fn a_burst_of_leaving_clients_puts_no_engine_out_of_use() {
+    let deaf = Script::deaf();
+    let mut gateway = Gateway::with(&[deaf.script.address], patient);
+    let clients: Vec<Client> = (0..8)
+        .map(|_| {
+            let mut client = gateway.client();
+            send(&mut client, &text(8, "SELECT 'held'"));
+            client
+        })
+        .collect();
+    gateway.settled();
+    gateway.stop();
+    let kept = leave_all(Way::Kills, clients, gateway.listen);
+    gateway.go_on();
+    let counts = gateway.settled();
+    assert_eq!((counter(&counts, "client_left"), counter(&counts, "relays_withdrawn")), (8, 8), "{counts}");
+    assert_eq!(counter(&counts, "engines_benched"), 0, "{counts}");
+    drop(kept);
+}
+
+/// A client's time runs while its statement stands behind another on its session.
+#[test]
+fn what_waited_behind_another_past_its_time_is_denied_at_once() {
+    let engine = Script::new();
+    let gateway = Gateway::with(&[engine.address], patient);
+    let (one, two) = (text(8, "SELECT 'one'"), text(8, "SELECT 'two'"));
+    let short = two.query.replace("budget=500000", "budget=400");
+    let mut client = gateway.client();
+    client.stream.write_all(&[query_packet(&one.query), query_packet(&short)].concat()).unwrap();
+    let mut link = engine.accept();
+    let asked = link.asked();
+    sleep(millis(600));
+    link.complete(&asked);
+    assert_eq!(rows(client.answer().unwrap())[0][1], "SELECT 'one'");
+    assert!(denied(&client.answer().unwrap()));
+    assert!(link.silent(), "it was sent on after its time");
+    ended(gateway);
+}
+
+/// The grace runs from the telling, and a connection that comes up after it must not carry anything new.
+#[test]
+fn an_engine_told_draining_or_gone_gets_nothing_by_a_connection_that_comes_up_later() {
+    each(&["terminating", "terminated"], |state| {
+        let (deaf, other) = (Script::deaf(), Script::new());
+        let gateway = Gateway::with(&[deaf.script.address], patient);
+        let (mut client, statement) = (gateway.client(), text(8, "SELECT 'moves'"));
+        send(&mut client, &statement);
+        let mut gateway = gateway;
+        assert_eq!(counter(&gateway.settled(), "relays_sent"), 1);
+        let drains = target("e-0", deaf.script.address, state);
+        gateway.board.tell(false, vec![drains, target("e-1", other.address, "in_service")]);
+        let mut link = other.comes().expect("it moves to the other engine at once");
+        let asked = link.asked();
+        assert_eq!(asked.id, statement.rid);
+        let lines = deaf.hear().listen();
+        link.complete(&asked);
+        assert_eq!(rows(client.answer().unwrap()).len(), 1);
+        let counts = gateway.settled();
+        assert_eq!(
+            (counter(&counts, "relays_withdrawn"), counter(&counts, "relays_sent")),
+            (1, 2),
+            "{counts}"
+        );
+        // Only the one to the other engine is open, so that nothing can come up any more.
+        assert_eq!(counter(&counts, "engines_open"), 1, "{counts}");
+        assert!(lines.try_iter().next().is_none());
+        ended(gateway);
+    });
+}
+
+/// Engines forget a mark in time: a repeat that only then comes up on a late connection would take effect twice.
+#[test]
+fn a_repeat_that_cannot_leave_within_the_window_never_leaves() {
+    let (first, deaf) = (Script::new(), Script::deaf());
+    let mut gateway = Gateway::with(&[first.address], effect("keyed", 1.5));
+    let mut client = gateway.client();
+    let plain = text(8, "INSERT INTO ledger_1.bills SELECT 1");
+    let statement = plain.query.replace("mem=8", "mem=8,token=00112233445566778899aabbccddeeff");
+    client.stream.write_all(&query_packet(&statement)).unwrap();
+    let mut link = first.accept();
+    assert_eq!(link.asked().id, plain.rid);
+    gateway.board.tell(false, vec![target("e-1", deaf.script.address, "in_service")]);
+    while counter(&gateway.settled(), "list_events") < 1 {}
+    let begun = Instant::now();
+    link.reset();
+    // It may have run, and can't be told to be harmless any more.
+    let answer = client.answer().unwrap();
+    assert!(matches!(answer, Answer::Error(1105, _)), "{answer:?}");
+    assert!(begun.elapsed() < millis(2500), "{:?}", begun.elapsed());
+    let counts = gateway.settled();
+    assert_eq!((counter(&counts, "relays_sent"), counter(&counts, "relays_withdrawn")), (2, 1), "{counts}");
+    assert_eq!(counter(&counts, "engines_open"), 0, "{counts}");
+    assert!(deaf.hear().listen().recv_timeout(millis(1500)).is_err());
+    ended(gateway);
+}
+
+/// Engines of other deployments drop repeats by their mark, and run in turn what has one key: both go on as they came.
+#[test]
+fn marks_and_keys_go_on_as_they_came() {
+    let engine = Script::new();
+    let gateway = Gateway::with(&[engine.address], effect("keyed", 30.0));
+    let mut link = None;
+    for (fields, wanted) in [
+        ("token=dcf358aa9f07adc5", Some(",replay=dcf358aa9f07adc5 ")),
+        ("obj=000a1e5da4310133", Some(",thing=000a1e5da4310133 ")),
+        ("token=9f,obj=0a", Some(",replay=9f,thing=0a ")),
+        ("token=a b", None),
+        ("token=", None),
+        ("obj=a;b", None),
+    ] {
+        let statement = text(8, "INSERT INTO ledger_1.bills SELECT 1");
+        let tagged = statement.query.replace("mem=8", &format!("mem=8,{fields}"));
+        let mut client = gateway.client();
+        client.stream.write_all(&query_packet(&tagged)).unwrap();
+        let Some(wanted) = wanted else {
+            assert!(matches!(client.answer().unwrap(), Answer::Error(1064, _)), "{fields}");
+            continue;
+        };
+        let link = link.get_or_insert_with(|| engine.accept());
+        let line = link.line().unwrap();
+        assert!(line.contains(wanted), "{fields}: {line}");
+        link.line().unwrap();
+        link.complete(&Asked { id: statement.rid, text: "x".to_owned() });
+        assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fails {
+    /// An answer of one word: it never ran (`WAIT`, `PAST`), or may have (`BROKE`).
+    Says(&'static str),
+    Resets,
+    Closes,
+    /// Half of its answer, and then nothing.
+    Half,
+    /// Half of its answer, and the end.
+    HalfAndCloses,
+    Garbage,
+    /// Its answer and a second word for it at once: the first counts.
+    Twice,
+}
+
+/// For each way in which an engine fails under a statement: whether the statement may have run, by effect whether it
+/// is sent again, and that its client has one answer that says so.
+#[test]
+fn what_an_engines_failure_means_hangs_on_the_effect() {
+    let ways = [
+        (Fails::Says("WAIT"), false),
+        (Fails::Says("PAST"), false),
+        (Fails::Says("BROKE"), true),
+        (Fails::Resets, true),
+        (Fails::Closes, true),
+        (Fails::Half, true),
+        (Fails::HalfAndCloses, true),
+        (Fails::Garbage, true),
+        (Fails::Twice, true),
+    ];
+    // By effect, with a mark or not: whether one that may have run is sent again.
+    let effects =
+        [("safe", false, true), ("unsafe", true, false), ("keyed", true, true), ("keyed", false, false)];
+    let cases: Vec<_> =
+        ways.iter().flat_map(|way| effects.iter().map(move |effect| (*way, *effect))).collect();
+    each(&cases, |((fails, may_have_run), (name, marked, repeatable))| {
+        let engine = Script::new();
+        let gateway = Gateway::with(&[engine.address], effect(name, 30.0));
+        let (mut client, statement) = (gateway.client(), text(8, "SELECT 'fails'"));
+        let mark = if marked { "mem=8,token=0123456789abcdef" } else { "mem=8" };
+        let query = statement.query.replace("mem=8", mark);
+        client.stream.write_all(&query_packet(&query)).unwrap();
+        let mut link = engine.accept();
+        let asked = link.asked();
+        let whole = completed(&asked);
+        match fails {
+            Fails::Says(word) => link.say(&said(&asked, word)),
+            Fails::Resets => reset(&link.stream),
+            Fails::Closes => link.stream.shutdown(Shutdown::Both).unwrap(),
+            Fails::Half => link.say(&whole[..whole.len() / 2]),
+            Fails::HalfAndCloses => {
+                link.say(&whole[..whole.len() / 2]);
+                link.stream.shutdown(Shutdown::Both).unwrap();
+            }
+            Fails::Garbage => link.say("what is this\r\n"),
+            Fails::Twice => {
+                link.say(&[whole.clone(), said(&asked, "BROKE"), whole].concat());
+                let got = client.answer().unwrap();
+                assert_eq!(rows(got).len(), 1, "{name}");
+                // One answer: the next word of the session is that of its next command.
+                assert_eq!(client.ping().unwrap(), Answer::Ok, "{name}");
+                return drop(ended(gateway));
+            }
+        }
+        if !may_have_run || repeatable {
+            // On another connection, whatever became of the first.
+            let mut again = engine.comes().unwrap_or_else(|| panic!("{fails:?}, {name}: not sent again"));
+            let asked = again.asked();
+            assert_eq!(asked.id, statement.rid);
+            again.complete(&asked);
+            assert_eq!(rows(client.answer().unwrap()).len(), 1, "{fails:?}, {name}");
+        } else {
+            let answer = client.answer().unwrap();
+            assert!(matches!(answer, Answer::Error(1105, _)), "{fails:?}, {name}: {answer:?}");
+        }
+        let log = ended(gateway);
+        let sent = if !may_have_run || repeatable { 2 } else { 1 };
+        assert_eq!(counter(&log, "relays_sent"), sent, "{fails:?}, {name}: {log}");
+    });
+}
+
+/// Half a line on a connection at rest: what is put on it next would end with it.
+#[test]
+fn a_connection_with_half_a_line_at_rest_takes_no_statement() {
+    let engine = Script::new();
+    let mut gateway = Gateway::with(&[engine.address], effect("unsafe", 30.0));
+    let mut client = gateway.client();
+    let (one, two) = (text(8, "SELECT 'one'"), text(8, "SELECT 'two'"));
+    send(&mut client, &one);
+    let mut link = engine.accept();
+    let asked = link.asked();
+    link.say(&(completed(&asked) + "5eed00c0ff"));
+    assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    gateway.settled();
+    send(&mut client, &two);
+    let mut fresh = engine.comes().expect("on a connection of its own");
+    let asked = fresh.asked();
+    assert_eq!(asked.id, two.rid);
+    fresh.complete(&asked);
+    assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    ended(gateway);
+}
+
+/// The answer of the first relay comes in the turn in which it times out: it counts, and nothing is sent again.
+#[test]
+fn an_answer_in_the_turn_of_its_time_out_counts() {
+    let engine = Script::new();
+    let gateway = Gateway::with(&[engine.address], patient);
+    let (mut client, statement) = (gateway.client(), text(8, "SELECT 'late'"));
+    let short = statement.query.replace("budget=500000", "budget=700");
+    client.stream.write_all(&query_packet(&short)).unwrap();
+    let mut link = engine.accept();
+    let asked = link.asked();
+    gateway.stop();
+    link.complete(&asked);
+    // Its time passes while the gateway stands still.
+    sleep(millis(800));
+    gateway.go_on();
+    assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    assert!(link.silent());
+    let log = ended(gateway);
+    assert_eq!((counter(&log, "relays_timed_out"), counter(&log, "completed")), (0, 1), "{log}");
+}
+
+/// A client rests with half a packet until the gateway ends: it reads what it had, then an end, never a reset; and what
+/// it asks across that end goes nowhere.
+#[test]
+fn resting_clients_are_shut_and_read_before_they_are_closed() {
+    let engine = Script::new();
+    let gateway = Gateway::with(&[engine.address], patient);
+    let (mut client, statement) = (gateway.client(), text(8, "SELECT 'before'"));
+    send(&mut client, &statement);
+    let mut link = engine.accept();
+    let asked = link.asked();
+    link.complete(&asked);
+    let half = query_packet(&text(8, "SELECT 'half'").query);
+    client.stream.write_all(&half[..half.len() / 2]).unwrap();
+    gateway.signal(Signal::TERM);
+    assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    // The gateway has shut its side, and still reads.
+    assert_eq!(client.stream.read(&mut [0; 16]).unwrap(), 0);
+    client.stream.write_all(&half[half.len() / 2..]).unwrap();
+    send(&mut client, &text(8, "SELECT 'across'"));
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(client.stream.read(&mut [0; 16]).map_err(|error| error.kind()), Ok(0));
+    let (status, log) = gateway.end(millis(5000));
+    assert!(status.success());
+    assert_eq!((counter(&log, "statements_taken"), counter(&log, "relays_sent")), (1, 1), "{log}");
+    assert!(link.line().is_none());
+}
+
+/// Statements that come whole, on an old and on a new connection, in the very turn in which a gateway would end.
+#[test]
+fn what_comes_in_the_last_turn_is_answered() {
+    let engine = Script::new();
+    let gateway = Gateway::with(&[engine.address], patient);
+    let mut rests = gateway.client();
+    gateway.signal(Signal::TERM);
+    // It has begun to drain: the next word comes after that.
+    assert_eq!(rests.ping().unwrap(), Answer::Ok);
+    gateway.stop();
+    // What still comes is taken for 0.7 s, which pass while it stands still.
+    sleep(millis(900));
+    let (old, new) = (text(8, "SELECT 'old'"), text(8, "SELECT 'new'"));
+    send(&mut rests, &old);
+    let mut comes = TcpStream::connect(gateway.listen).unwrap();
+    comes.write_all(&[login_packet("app", b"", "warehouse"), query_packet(&new.query)].concat()).unwrap();
+    gateway.go_on();
+    let mut link = engine.accept();
+    let mut links = vec![engine.accept()];
+    let mut seen: Vec<Asked> = links.iter_mut().map(Link::asked).collect();
+    seen.push(link.asked());
+    links.push(link);
+    for (link, asked) in links.iter_mut().zip(&seen) {
+        link.complete(asked);
+    }
+    assert_eq!(rows(rests.answer().unwrap()).len(), 1);
+    let mut got = Vec::new();
+    comes.read_to_end(&mut got).unwrap();
+    assert!(got.windows(12).any(|bytes| bytes == b"SELECT 'new'"), "no whole answer");
+    let (status, log) = gateway.end(millis(5000));
+    assert!(status.success());
+    assert_eq!((counter(&log, "completed"), counter(&log, "open")), (2, 0), "{log}");
+    add_up(&log);
+}
+
+#[test]
+fn a_second_sigterm_and_a_sighup_change_nothing_for_what_drains() {
+    let engine = Script::new();
+    let gateway = Gateway::with(&[engine.address], patient);
+    let (mut client, statement) = (gateway.client(), text(8, "SELECT 'drains'"));
+    send(&mut client, &statement);
+    let mut link = engine.accept();
+    let asked = link.asked();
+    for signal in [Signal::TERM, Signal::TERM, Signal::HUP, Signal::INT, Signal::TERM] {
+        gateway.signal(signal);
+    }
+    // The signals were taken in before this answer.
+    assert_eq!(gateway.client().ping().unwrap(), Answer::Ok);
+    link.complete(&asked);
+    assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    let (status, log) = gateway.end(millis(5000));
+    assert!(status.success());
+    assert_eq!((counter(&log, "completed"), counter(&log, "reloads")), (1, 1), "{log}");
+    add_up(&log);
+}
+
+/// One that comes after SIGTERM is to be answered by the same end, and its engine never answers: it is sent once.
+#[test]
+fn what_is_taken_while_draining_is_given_up_at_its_end_and_not_sent_again() {
+    let engine = Script::new();
+    let gateway = Gateway::with(&[engine.address], patient);
+    gateway.signal(Signal::TERM);
+    let mut client = gateway.client();
+    let statement = text(8, "SELECT 'silent'");
+    send(&mut client, &statement);
+    let mut link = engine.accept();
+    assert_eq!(link.asked().id, statement.rid);
+    assert!(denied(&client.answer().unwrap()));
+    let (status, log) = gateway.end(millis(5000));
+    assert!(status.success());
+    assert_eq!((counter(&log, "relays_sent"), counter(&log, "overdue")), (1, 0), "{log}");
+    add_up(&log);
+}
+
+/// A session that another one ends has its statement's answer, then an end.
+#[test]
+fn a_killed_session_reads_its_answer_and_then_its_end() {
+    let engine = Script::new();
+    let gateway = Gateway::with(&[engine.address], patient);
+    let (mut client, statement) = (gateway.client(), text(8, "SELECT 'killed'"));
+    send(&mut client, &statement);
+    let mut link = engine.accept();
+    assert_eq!(link.asked().id, statement.rid);
+    // More stands behind it, unread by the gateway's commands: closed over it, the connection would be reset.
+    send(&mut client, &text(8, "SELECT 'behind'"));
+    assert_eq!(gateway.client().ask(&format!("KILL {}", client.connection)).unwrap(), Answer::Ok);
+    assert!(matches!(client.answer().unwrap(), Answer::Error(1317, _)));
+    assert_eq!(client.answer().unwrap_err().kind(), ErrorKind::UnexpectedEof);
+    client.stream.write_all(&packet(0, &[0x0e])).unwrap();
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(client.stream.read(&mut [0; 8]).map_err(|error| error.kind()), Ok(0));
+    ended(gateway);
+}
+
+/// Signals that come before the program has read its configuration.
+#[test]
+fn a_signal_during_the_start_is_heeded_after_it() {
+    each(&[Signal::HUP, Signal::TERM], |signal| {
+        let engine = engine(1);
+        let gateway = Gateway::before(&[engine.address]);
+        let config = std::fs::read(&gateway.config).unwrap();
+        let pipe = gateway.config.with_extension("pipe");
+        let made = std::process::Command::new("mkfifo").arg(&pipe).status().unwrap();
+        assert!(made.success());
+        drop(gateway);
+        let mut child = spawn(&pipe);
+        // Opened for writing once the program has opened it to read its configuration; a second reading finds a file.
+        let mut writes = std::fs::OpenOptions::new().write(true).open(&pipe).unwrap();
+        rustix::process::kill_process(rustix::process::Pid::from_child(&child), signal).unwrap();
+        let file = pipe.with_extension("file");
+        std::fs::write(&file, &config).unwrap();
+        std::fs::rename(&file, &pipe).unwrap();
+        if signal == Signal::TERM {
+            writes.write_all(&config).unwrap();
+            drop(writes);
+            let status = child.wait().unwrap();
+            assert!(status.success(), "{status}");
+        } else {
+            writes.write_all(&config).unwrap();
+            drop(writes);
+            let listen: Value = serde_json::from_slice(&config).unwrap();
+            let listen: SocketAddr = listen["listen"].as_str().unwrap().parse().unwrap();
+            let until = Instant::now() + millis(10_000);
+            while !Client::login(listen).is_ok_and(|mut client| client.ping().is_ok()) {
+                assert!(Instant::now() < until, "{:?}", child.try_wait());
+            }
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+        std::fs::remove_file(&pipe).unwrap();
+    });
+}
+
+/// Nine in ten are to be ready within 10 s, whatever the notice board does: slow, silent, or down, and with no list yet.
+#[test]
+fn a_restart_is_ready_in_time_whatever_the_board_does() {
+    use toy::board::Mood;
+    each(&[Some(Mood::Late), Some(Mood::Silent), Some(Mood::Closing), None], |mood| {
+        let engine = engine(1);
+        for known in [true, false] {
+            let mut gateway = Gateway::with(&[engine.address], |config| {
+                if mood.is_none() {
+                    config["board"] = json!(free_address().to_string());
+                }
+                if !known {
+                    config["known"] = json!({"rev": 0, "notices": []});
+                }
+            });
+            mood.into_iter().for_each(|mood| gateway.board.set(mood));
+            gateway.child.kill().unwrap();
+            gateway.child.wait().unwrap();
+            gateway.child = spawn(&gateway.config);
+            let begun = Instant::now();
+            gateway.wait_ready();
+            assert!(begun.elapsed() < millis(if known { 1000 } else { 7000 }), "{mood:?}, {known}");
+            let mut client = gateway.client();
+            let answer = client.ask(&commented(3000, "SELECT 1")).unwrap();
+            if known {
+                assert_eq!(rows(answer).len(), 1);
+            } else if mood == Some(Mood::Late) {
+                // Late, and in time for the start all the same.
+                assert_eq!(rows(answer).len(), 1);
+            } else {
+                // Denied until a list comes, then served.
+                assert!(denied(&answer), "{answer:?}");
+                if mood.is_some() {
+                    gateway.board.set(Mood::Well);
+                    let until = Instant::now() + millis(9000);
+                    while denied(&client.ask(&commented(3000, "SELECT 1")).unwrap()) {
+                        assert!(Instant::now() < until, "{mood:?}: the list never came");
+                        sleep(millis(50));
+                    }
+                }
+            }
+        }
+    });
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,12 +1,15 @@
 //! A gateway process between our own stand-ins, for all tests on sockets.
 #![allow(dead_code)]
 
-use std::io::Read;
+pub mod script;
+
+use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::thread::sleep;
+use std::sync::mpsc::{Receiver, channel};
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -21,6 +24,9 @@
     pub config: PathBuf,
     pub listen: SocketAddr,
     pub board: Board,
+    /// Its log so far, and the lines still to be taken in, where it is watched.
+    log: String,
+    lines: Option<Receiver<String>>,
 }
 
 pub static RUNS: AtomicU32 = AtomicU32::new(0);
@@ -89,11 +95,63 @@
         if !operator.is_empty() {
             std::fs::write(path.with_extension("hcl"), operator).unwrap();
         }
-        let gateway = Gateway { child: spawn(&path), config: path, listen, board };
+        let (log, lines) = (String::new(), None);
+        let gateway = Gateway { child: spawn(&path), config: path, listen, board, log, lines };
         gateway.wait_ready();
         gateway
     }
 
+    /// Waits for its next line that holds these words.
+    pub fn says(&mut self, words: &str) -> String {
+        if let Some(said) = self.child.stderr.take() {
+            let (tell, lines) = channel();
+            thread::spawn(move || {
+                BufReader::new(said).lines().map_while(Result::ok).try_for_each(|line| tell.send(line))
+            });
+            self.lines = Some(lines);
+        }
+        loop {
+            let line = self.lines.as_ref().unwrap().recv_timeout(millis(10_000));
+            let line = line.unwrap_or_else(|_| panic!("never said {words:?}: {}", self.log));
+            self.log += &format!("{line}\n");
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    /// Its counters by now.
+    pub fn counts(&mut self) -> String {
+        self.signal(Signal::USR1);
+        self.says("counters:")
+    }
+
+    /// All that had reached its machine before this call was read and worked off: a turn prints its counters before it
+    /// reads, so between two prints lies a whole one.
+    pub fn settled(&mut self) -> String {
+        self.counts();
+        self.counts()
+    }
+
+    /// Stands still from here on: what comes meanwhile meets it in one turn.
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+        self.until_state('T');
+    }
+
+    pub fn go_on(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn until_state(&self, state: char) {
+        let until = Instant::now() + millis(10_000);
+        let stat = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        while !stat().rsplit(')').next().unwrap().trim_start().starts_with(state) {
+            assert!(Instant::now() < until, "never in state {state}");
+            thread::yield_now();
+        }
+    }
+
     pub fn wait_ready(&self) {
         let until = Instant::now() + millis(10_000);
         // Where callers are to be known, a word that TLS is required is readiness enough.
@@ -125,8 +183,11 @@
             assert!(Instant::now() < until, "still running");
             sleep(millis(5));
         };
-        let mut log = String::new();
-        self.child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+        let mut log = std::mem::take(&mut self.log);
+        match self.lines.take() {
+            Some(lines) => lines.iter().for_each(|line| log += &format!("{line}\n")),
+            None => drop(self.child.stderr.take().unwrap().read_to_string(&mut log).unwrap()),
+        }
         (status, log)
     }
 }
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -711,6 +711,7 @@
             estimate: Some(Span::from_secs(wish.estimate)),
             memory_mb: product.memory_mb,
             key: wish.key.map(OrderKey),
+            marked: true,
             budget: Span::from_secs(wish.ends - now),
         };
         let pick = self.gateways[gateway].front.pick(moment(now), id, wish.desk, &wants);
@@ -879,7 +880,8 @@
             let gateway = self.statements[at].gateway;
             self.free_links.entry((gateway, engine)).or_default().push(self.now);
         }
-        let ran = !matches!(news, News::Unreachable | News::TurnedAway | News::NeverSent);
+        let never = [News::Unreachable, News::TurnedAway, News::NeverSent, News::Withdrawn];
+        let ran = !never.contains(&news);
         self.rules.relay_over(at as u64, ran);
         let (gateway, answered) = (self.statements[at].gateway, self.statements[at].answered);
         let id = StatementId(at as u64);
--- a/crates/queues/src/hall.rs
+++ b/crates/queues/src/hall.rs
@@ -37,28 +37,18 @@
     owed: Vec<(StatementId, Pick)>,
     waits: Vec<Wait>,
     tally: Tally,
-    answer_by: Option<Moment>,
 }
 
 impl Hall {
     pub fn new(dispatch: Dispatch, lines: Option<Lines>) -> Self {
-        Hall {
-            dispatch,
-            lines,
-            owed: Vec::new(),
-            waits: Vec::new(),
-            tally: Tally::default(),
-            answer_by: None,
-        }
+        Hall { dispatch, lines, owed: Vec::new(), waits: Vec::new(), tally: Tally::default() }
     }
 
     /// Takes a statement. With lines it is held, or denied at once; without, it is as `Dispatch::pick`.
     pub fn pick(&mut self, now: Moment, id: StatementId, desk: DeskId, wants: &Wants) -> Pick {
         let Some(lines) = &mut self.lines else { return self.dispatch.pick(now, id, wants) };
-        // Without it, one that comes while the gateway ends could wait past that end.
-        let budget = self.answer_by.map_or(wants.budget, |by| wants.budget.min(by - now));
         let lent = |cpu: Span| lines.would_be_lent(now, desk, cpu.secs());
-        let entered = self.dispatch.enter(now, id, &Wants { budget, ..*wants }, lent);
+        let entered = self.dispatch.enter(now, id, wants, lent);
         let Some((place, forecast)) = entered else { return Pick::Held };
         // Of no team's making, so that it stands by its limit alone.
         let place = Place { over_allowance: false, ..place };
@@ -95,7 +85,7 @@
         if let Some(lines) = &mut self.lines {
             let cpu = match news {
                 News::Completed { cpu, .. } => cpu.map(Span::secs),
-                News::TurnedAway | News::Unreachable | News::NeverSent => Some(0.0),
+                News::TurnedAway | News::Unreachable | News::NeverSent | News::Withdrawn => Some(0.0),
                 _ => None,
             };
             lines.came_to(now, id, cpu);
@@ -137,6 +127,17 @@
         Tick { due, probe, list, wait }
     }
 
+    /// Its client left while it waits with nothing out: what to answer, should anybody still read. `Pick::Held`: it is
+    /// not in hand.
+    pub fn leave(&mut self, now: Moment, id: StatementId, back: Span) -> Pick {
+        let pick = self.dispatch.turn_away(now, id, back);
+        if let Some(lines) = &mut self.lines {
+            self.tally.left += u64::from(lines.left(now, id).is_some());
+            lines.over(id);
+        }
+        pick
+    }
+
     /// As `Dispatch::gone`.
     pub fn gone(&mut self, now: Moment, id: StatementId) {
         self.dispatch.gone(id);
@@ -193,7 +194,6 @@
     pub fn answer_by(&mut self, by: Moment) {
         self.dispatch.answer_by(by);
         self.lines.iter_mut().for_each(|lines| lines.answer_by(by));
-        self.answer_by = Some(by);
     }
 
     /// Other terms, with all that waits; nothing where there are no lines.
--- a/crates/queues/tests/hall.rs
+++ b/crates/queues/tests/hall.rs
@@ -84,6 +84,7 @@
         estimate: Some(span(rng.random_range(0.01..0.8))),
         memory_mb: rng.random_range(1.0..200.0),
         key: None,
+        marked: true,
         budget: span(rng.random_range(150.0..200.0)),
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -30,6 +30,18 @@
     pub multiplex: usize,
 }
 
+/// The longest time that what has left a gateway is on its way to an engine. A repeat must be there while the engine
+/// still knows the first one, so windows of repeats are this much shorter for who sends.
+#[derive(Clone, Copy, Debug)]
+pub struct Way(pub Span);
+
+impl Way {
+    /// Of a short window no more than a tenth is taken: the rest of the way it bears by being short.
+    fn within(self, window: Span) -> Span {
+        window - Span::from_secs(self.0.secs().min(window.secs() * 0.1))
+    }
+}
+
 impl Settings {
     pub fn from_lines(text: &str) -> Self {
         let pairs = text.lines().filter_map(|line| line.trim().split_once('='));
@@ -94,7 +106,7 @@
         self.words(key).into_iter().map(place).collect::<Result<_, _>>().map(Some)
     }
 
-    fn product(&self, at: usize, threads: f64) -> Result<Product, SettingsError> {
+    fn product(&self, at: usize, threads: f64, way: Way) -> Result<Product, SettingsError> {
         let key = |name: &str| format!("Grades.{at}.{name}");
         let effect = match self.need::<String>(&key("Effect"))?.as_str() {
             "safe" => Effect::Idempotent,
@@ -108,7 +120,7 @@
                         return Err(SettingsError::Unreadable { key: key("KeyScope"), value: other.into() });
                     }
                 },
-                remembered: self.need_span(&key("WindowS"))?,
+                remembered: way.within(self.need_span(&key("WindowS"))?),
             },
             other => return Err(SettingsError::Unreadable { key: key("Effect"), value: other.into() }),
         };
@@ -138,11 +150,13 @@
         self.words("Feedback.Fields").into_iter().map(String::from).collect()
     }
 
-    pub fn policy(&self, seed: u64) -> Result<Policy, SettingsError> {
+    /// `way`: what a relay may take to its engine.
+    pub fn policy(&self, seed: u64, way: Way) -> Result<Policy, SettingsError> {
         let threads = self.numbers("Extra.Parallelism")?;
         let count: usize = self.need("Grades.count")?;
         let thread = |at: usize| threads.get(at).copied().unwrap_or(1.0).max(1.0);
-        let products = (0..count).map(|at| self.product(at, thread(at))).collect::<Result<Vec<_>, _>>()?;
+        let products =
+            (0..count).map(|at| self.product(at, thread(at), way)).collect::<Result<Vec<_>, _>>()?;
         let tenants: usize = self.may("Tenants.count")?.unwrap_or(0);
         let allowance = |at: usize| Ok(self.number(&format!("Tenants.{at}.AllowancePerS"))?.unwrap_or(0.0));
         let tenancy = Tenancy {
--- a/crates/settings/tests/forms.rs
+++ b/crates/settings/tests/forms.rs
@@ -1,6 +1,9 @@
 //! Both forms of the same settings read alike, and what is missing or unreadable is named.
 
-use settings::Settings;
+use admission::interface::Span;
+use settings::{Settings, Way};
+
+const WAY: Way = Way(Span::ZERO);
 
 const LINES: &str = "Discovery=pushed\nExtra.Bills=true\nExtra.KindCores=8,16\nExtra.Notes=a_b__c\n\
     Extra.Parallelism=1,2\nGrades.count=2\nGrades.0.Name=point\nGrades.0.Effect=safe\nGrades.0.GoalTimeS=0.5\n\
@@ -28,12 +31,12 @@
     assert_eq!((json.location_names(), json.machine_names().len()), (vec!["west".into(), "east".into()], 2));
     let links = json.links().unwrap();
     assert_eq!((links.connect_timeout.secs(), links.idle.secs(), links.multiplex), (0.25, 30.0, 100));
-    assert!(json.policy(1).is_ok() && json.bills().unwrap());
+    assert!(json.policy(1, WAY).is_ok() && json.bills().unwrap());
 }
 
 #[test]
 fn what_is_missing_or_unreadable_is_named() {
-    let fault = |lines: &str| match Settings::from_lines(lines).policy(1) {
+    let fault = |lines: &str| match Settings::from_lines(lines).policy(1, WAY) {
         Ok(_) => panic!("taken for good"),
         Err(error) => error.to_string(),
     };
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -4,7 +4,7 @@
 
 use admission::interface::*;
 use dispatch::{Dispatch, Pick, Verdict, Wants};
-use settings::{Settings, SettingsError};
+use settings::{Settings, SettingsError, Way};
 
 use crate::frames::{Batch, Fields, FrameError, Reply};
 
@@ -107,7 +107,7 @@
     fn new(text: &str, seed: u64) -> Result<Self, SettingsError> {
         let settings = Settings::from_lines(text);
         Ok(Gateway {
-            dispatch: Dispatch::new(settings.policy(seed)?),
+            dispatch: Dispatch::new(settings.policy(seed, Way(Span::ZERO))?),
             products: settings.products(),
             bills: settings.bills()?,
             fields: settings.report_fields(),
@@ -195,6 +195,7 @@
             estimate: Some(Span::from_secs(fields.f64(38))).filter(|cpu| told && *cpu > Span::ZERO),
             memory_mb: Some(fields.f32(12)).filter(|mb| mb.is_finite()).unwrap_or(0.0),
             key: Some(OrderKey(fields.u64(28))).filter(|key| key.0 != 0),
+            marked: true,
             budget: Span::from_secs(fields.f64(16)),
         };
         let pick = self.dispatch.pick(now, id, &wants);
