--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -6,6 +6,7 @@
 
 use admission::interface::*;
 use calloop::EventLoop;
+use gateway::board::Board;
 use gateway::counters::Counters;
 use gateway::engines::lines::{Rid, Tags};
 use gateway::engines::{Engines, Outgoing, Report};
@@ -157,3 +158,43 @@
     link.say(&completed(&asked));
     assert!(matches!(turns.outcome().news, News::Completed { .. }));
 }
+
+/// Gateways that lose their board in one instant do not ask again in step.
+#[test]
+fn a_lost_board_is_asked_again_at_an_instant_of_each_gateways_own() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let begun = Moment::from_secs(1000.0);
+    let asks: Vec<Vec<Moment>> = (0..20)
+        .map(|seed| {
+            let mut event_loop: EventLoop<'static, Ready> = EventLoop::try_new().unwrap();
+            let mut board = Board::new(&event_loop.handle(), closed, 0, seed, begun);
+            let (mut now, mut asked, mut counters) = (begun, Vec::new(), Counters::default());
+            while asked.len() < 8 {
+                board.expire(now, &mut counters);
+                // Refused at once, in the same instant for all.
+                let mut ready = Ready::default();
+                while ready.peers.is_empty() && counters.polls_failed as usize == asked.len() {
+                    event_loop.dispatch(std::time::Duration::from_secs(10), &mut ready).unwrap();
+                }
+                for peer in ready.peers {
+                    let Peer::Board(at) = peer else { panic!("{peer:?}") };
+                    board.ready(now, at, &mut counters);
+                }
+                now = board.next_due().unwrap();
+                asked.push(now);
+            }
+            asked
+        })
+        .collect();
+    for round in 0..8 {
+        let mut at: Vec<Moment> = asks.iter().map(|of| of[round]).collect();
+        at.sort_unstable();
+        at.dedup();
+        assert_eq!(at.len(), 20, "round {round}");
+    }
+    // Bounded all the same: never over a second between two, and no more than a few at once.
+    for of in &asks {
+        assert!(of.windows(2).all(|pair| (pair[1] - pair[0]).secs() <= 1.0));
+        assert!((of[7] - begun).secs() > 1.0, "{of:?}");
+    }
+}
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -467,6 +467,8 @@
     Half,
     /// Half of its answer, and the end.
     HalfAndCloses,
+    /// Its answer a byte at a time, each soon after the one before: it never ends.
+    Drips,
     Garbage,
     /// Its answer and a second word for it at once: the first counts.
     Twice,
@@ -484,6 +486,7 @@
         (Fails::Closes, true),
         (Fails::Half, true),
         (Fails::HalfAndCloses, true),
+        (Fails::Drips, true),
         (Fails::Garbage, true),
         (Fails::Twice, true),
     ];
@@ -511,6 +514,14 @@
                 link.say(&whole[..whole.len() / 2]);
                 link.stream.shutdown(Shutdown::Both).unwrap();
             }
+            Fails::Drips => {
+                let mut stream = link.stream.try_clone().unwrap();
+                let head = format!("{} DONE total=1 6000\r\n", asked.id);
+                thread::spawn(move || {
+                    let drip = |byte: &[u8]| stream.write_all(byte).map(|()| sleep(millis(20)));
+                    head.as_bytes().chunks(1).chain(std::iter::repeat(&b"x"[..])).take(500).try_for_each(drip)
+                });
+            }
             Fails::Garbage => link.say("what is this\r\n"),
             Fails::Twice => {
                 link.say(&[whole.clone(), said(&asked, "BROKE"), whole].concat());
@@ -785,3 +796,181 @@
         }
     });
 }
+
+/// An answer that its client has not taken yet when the gateway is told to end is written to its end, then the client
+/// finds the end of the session.
+#[test]
+fn an_answer_half_written_at_sigterm_is_written_whole() {
+    let engine = engine(1);
+    let gateway = Gateway::with(&[engine.address], patient);
+    let mut client = gateway.client();
+    // So small a window that most of the answers still lie with the gateway.
+    rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, 2048).unwrap();
+    let question = text(8, &format!("SELECT '{}' LIMIT 120", "x".repeat(260)));
+    let many: Vec<u8> = (0..100)
+        .flat_map(|_| {
+            let rid = text(8, "SELECT 1").rid;
+            query_packet(&question.query.replace(&question.rid, &rid))
+        })
+        .collect();
+    client.stream.write_all(&many).unwrap();
+    assert_eq!(rows(client.answer().unwrap()).len(), 120);
+    gateway.signal(Signal::TERM);
+    let mut whole = 1;
+    while let Ok(answer) = client.answer() {
+        assert_eq!(rows(answer).len(), 120);
+        whole += 1;
+    }
+    let (status, log) = gateway.end(millis(5000));
+    assert!(status.success());
+    // All that were taken came whole; what was never read of the session was not taken.
+    assert_eq!(counter(&log, "completed"), whole, "{log}");
+    add_up(&log);
+}
+
+/// The file again with all else changed, while a statement of the old settings is in hand: it ends by those, new ones go on
+/// by those too, what the new file names is unknown here, and the log says what waits for a restart.
+#[test]
+fn a_reload_with_other_settings_changes_no_statement() {
+    let engine = Script::new();
+    let mut gateway = Gateway::with(&[engine.address], effect("unsafe", 30.0));
+    let (mut client, statement) = (gateway.client(), text(8, "SELECT 'old'"));
+    send(&mut client, &statement);
+    let mut link = engine.accept();
+    let asked = link.asked();
+    let old = std::fs::read_to_string(&gateway.config).unwrap();
+    let mut new: Value = serde_json::from_str(&old).unwrap();
+    new["settings"]["Grades"] = json!([{"Name": "lookup", "Effect": "safe", "GoalTimeS": 0.1, "GiveUpS": 0.2}]);
+    new["settings"]["Tenants"] = json!([{"Name": "metro", "AllowancePerS": 1.0}]);
+    new["settings"]["Limits"]["MaxOpen"] = json!(0);
+    new["limits"]["sockets"] = json!(64);
+    let free = json!(free_address().to_string());
+    new["board"] = free.clone();
+    std::fs::write(&gateway.config, new.to_string()).unwrap();
+    gateway.signal(Signal::HUP);
+    let told = gateway.says("configuration read again");
+    assert!(told.contains(r#"kept=["limits.sockets", "settings"]"#), "{told}");
+    assert!(told.contains(free.as_str().unwrap()), "{told}");
+    // It may have run: by the old settings never again, by the new ones it would be.
+    link.say(&said(&asked, "BROKE"));
+    assert!(matches!(client.answer().unwrap(), Answer::Error(1105, _)));
+    let unknown = text(8, "SELECT 1").query.replace("method=point", "method=lookup");
+    assert!(matches!(client.ask(&unknown).unwrap(), Answer::Error(1064, _)));
+    let known = text(8, "SELECT 'still'");
+    send(&mut client, &known);
+    let asked = link.asked();
+    assert_eq!(asked.id, known.rid);
+    link.complete(&asked);
+    assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    ended(gateway);
+}
+
+/// Two deployments in one process, a word each in turn: neither's effects serve the other's statements.
+#[test]
+fn two_configurations_in_one_process_share_nothing() {
+    use admission::interface::*;
+    use dispatch::{Dispatch, Pick, Verdict, Wants};
+    use settings::{Settings, Way};
+    let at = Moment::from_secs;
+    let config: Value = serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
+    let of = |effect: &str| {
+        let mut settings = config["settings"].clone();
+        settings["Grades"][0]["Effect"] = json!(effect);
+        let policy = Settings::from_json(&settings).policy(7, Way(Span::ZERO)).unwrap();
+        let mut dispatch = Dispatch::new(policy);
+        let engine = EngineFact {
+            id: EngineId(1),
+            scale: 1.0,
+            location: LocationId(0),
+            machine: MachineId(0),
+            cell: CellId(0),
+            stage: Stage::Ready,
+            started: None,
+        };
+        dispatch.told_list(at(0.0), &ListNews::Whole(vec![engine]));
+        dispatch
+    };
+    let mut both = [of("safe"), of("unsafe")];
+    let wants = Wants {
+        product: ProductId(0),
+        tenant: TenantId(0),
+        group: GroupId(1),
+        estimate: Some(Span::from_secs(0.01)),
+        memory_mb: 8.0,
+        key: None,
+        marked: false,
+        budget: Span::from_secs(2.0),
+    };
+    for number in 0..20 {
+        let (id, now) = (StatementId(number), at(number as f64));
+        for of in &mut both {
+            assert_eq!(of.pick(now, id, &wants), Pick::Held);
+        }
+        for (which, of) in both.iter_mut().enumerate() {
+            let due = of.tick(now).due;
+            let [(_, Pick::Relay(order))] = due[..] else { panic!("{due:?}") };
+            let news = if number % 2 == 0 { News::Error } else { News::Reset };
+            let verdict = of.report(now, id, order.relay, news, Span::from_secs(0.1), false);
+            let want = if which == 0 { Verdict::Nothing } else { Verdict::Scrap };
+            assert_eq!(verdict, want, "{number}, {which}");
+            of.gone(id);
+        }
+    }
+}
+
+/// An id once more at once after its statement was killed: it is that of an open statement until its relay is over, since
+/// of two with one id an engine's answer could be for either; then it is like any other.
+#[test]
+fn the_id_of_a_killed_statement_is_free_once_its_relay_is_over() {
+    let engine = Script::new();
+    let mut gateway = Gateway::with(&[engine.address], patient);
+    let (mut client, statement) = (gateway.client(), text(8, "SELECT 'once'"));
+    send(&mut client, &statement);
+    let mut link = engine.accept();
+    let asked = link.asked();
+    assert_eq!(gateway.client().ask(&format!("KILL QUERY {}", client.connection)).unwrap(), Answer::Ok);
+    assert!(matches!(client.answer().unwrap(), Answer::Error(1317, _)));
+    assert!(matches!(client.ask(&statement.query).unwrap(), Answer::Error(1064, _)));
+    assert!(link.silent());
+    link.complete(&asked);
+    while counter(&gateway.settled(), "relays_done") < 1 {}
+    send(&mut client, &statement);
+    let again = link.asked();
+    assert_eq!(again, asked);
+    link.complete(&again);
+    assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    ended(gateway);
+}
+
+/// A configuration that cannot be used is one line that names the place, and a status that is no success.
+#[test]
+fn a_bad_configuration_names_its_place() {
+    let config: Value = serde_json::from_str(include_str!("../../../examples/config.json")).unwrap();
+    let changes: [(&str, Value, &str); 12] = [
+        ("/board", json!("nowhere"), "board"),
+        ("/seed", json!("none"), "seed"),
+        ("/listen", json!(7000), "listen"),
+        ("/limits/sockets", json!(3), "limits.sockets"),
+        ("/limits/memory_mb", json!("much"), "limits.memory_mb"),
+        ("/known/rev", json!(-1), "known: rev"),
+        ("/known/notices/0/pool/targets/0/state", json!("asleep"), "known: state"),
+        ("/known/notices/0/pool/targets/0/endpoint", json!("e-1"), "known: endpoint"),
+        ("/settings/Grades/0/Effect", json!("careful"), "Grades.0.Effect"),
+        ("/settings/Grades/0/Effect", json!("keyed"), "Grades.0.KeyScope"),
+        ("/settings/Grades/1/GiveUpS", json!("long"), "Grades.1.GiveUpS"),
+        ("/settings/PeersTotal", json!("many"), "PeersTotal"),
+    ];
+    each(&(0..changes.len()).collect::<Vec<_>>(), |at| {
+        let (place, bad, named) = &changes[at];
+        let mut config = config.clone();
+        *config.pointer_mut(place).unwrap() = bad.clone();
+        let path = std::env::temp_dir().join(format!("laurelhitch-bad-{}-{at}.json", std::process::id()));
+        std::fs::write(&path, config.to_string()).unwrap();
+        let ended = spawn(&path).wait_with_output().unwrap();
+        std::fs::remove_file(&path).unwrap();
+        let said = String::from_utf8(ended.stderr).unwrap();
+        let faults: Vec<&str> = said.lines().filter(|line| line.starts_with("laurelhitch: ")).collect();
+        assert!(!ended.status.success() && faults.len() == 1, "{place}: {said}");
+        assert!(faults[0].contains(named), "{place}: {said}");
+    });
+}
