--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -198,3 +198,27 @@
         assert!((of[7] - begun).secs() > 1.0, "{of:?}");
     }
 }
+
+/// A statement that came whole after this turn's events were taken, just as the gateway would end: it is taken, and nobody
+/// is sent away before it has its answer.
+#[test]
+fn the_last_look_before_all_sessions_are_shut_takes_what_has_come() {
+    use gateway::clients::{Clients, News};
+    use toy::client::{login_packet, query_packet};
+    let event_loop: EventLoop<'static, Ready> = EventLoop::try_new().unwrap();
+    let (now, mut counters) = (Moment::from_secs(1000.0), Counters::default());
+    let mut clients = Clients::new(&event_loop.handle(), 8, 1 << 20, false, now);
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let mut send = |bytes: &[u8]| {
+        std::io::Write::write_all(&mut client, bytes).unwrap();
+        delivered(&[client.local_addr().unwrap()]);
+    };
+    send(&login_packet("app", b"", "warehouse"));
+    let (near, from) = listener.accept().unwrap();
+    clients.accept(now, near, from.ip(), &mut counters);
+    send(&query_packet(&support::commented(5000, "SELECT 1")));
+    // No turn in between.
+    assert!(!clients.part_all(now, &mut counters));
+    assert!(matches!(clients.news()[..], [News::Asked { .. }]));
+}
--- a/crates/settings/tests/forms.rs
+++ b/crates/settings/tests/forms.rs
@@ -47,3 +47,43 @@
     );
     assert!(Settings::from_lines("").links().unwrap_err().to_string().contains("ConnectTimeoutS is missing"));
 }
+
+/// Who sends has the window less the way, and of a short window no more than a tenth goes.
+#[test]
+fn windows_of_repeats_are_shorter_by_the_way() {
+    use admission::interface::*;
+    let at = Moment::from_secs;
+    for (window, way, left) in [("5.0", 0.0, 5.0), ("5.0", 0.05, 4.95), ("0.2", 0.05, 0.18)] {
+        let lines = LINES.replace("Grades.1.WindowS=5.0", &format!("Grades.1.WindowS={window}"));
+        let policy = Settings::from_lines(&lines).policy(1, Way(Span::from_secs(way))).unwrap();
+        let relay = Relay {
+            engine: EngineId(1),
+            location: LocationId(0),
+            cell: CellId(0),
+            sent: at(10.0),
+            charge: Span::ZERO,
+            threads: 1.0,
+            memory_mb: 0.0,
+            rank: 0,
+            trial: false,
+            state: RelayState::MayHaveRun,
+        };
+        let statement = Statement {
+            id: StatementId(1),
+            product: ProductId(1),
+            tenant: TenantId(0),
+            group: GroupId(0),
+            estimate: None,
+            memory_mb: 0.0,
+            key: None,
+            marked: true,
+            lent: false,
+            taken: at(10.0),
+            hard_limit: at(19.0),
+            held_since: at(10.0),
+            place: None,
+            relays: vec![relay],
+        };
+        assert_eq!(policy.repeat_until(&statement), Some(at(10.0 + left)), "{window}, {way}");
+    }
+}
