--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -1,8 +1,9 @@
 //! One run: events in the order of simulated time, a world of engines and clients, and the real decisions in the
 //! middle.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+mod events;
+
+use std::collections::BTreeMap;
 
 use admission::interface::*;
 use admission::policy::Policy as Module;
@@ -12,6 +13,7 @@
 use rand_distr::{Distribution, Exp, StandardNormal};
 use rand_pcg::Pcg64Mcg;
 
+use self::events::{Event, EventQueue};
 use crate::engine::{Engine, Run, State};
 use crate::figures::{self, Figures, Told, ratio, well};
 use crate::front::{Front, Policy};
@@ -88,29 +90,11 @@
     between: f64,
 }
 
-#[derive(Clone, Debug)]
-enum Event {
-    Wish(usize),
-    Tick { gateway: usize, turn: u64 },
-    Engine { engine: usize, turn: u64 },
-    Note { engine: usize, statement: usize, relay: RelayNo },
-    Due { statement: usize, relay: RelayNo },
-    Fails { statement: usize, relay: RelayNo },
-    News { gateway: usize, engine: usize, stage: Stage, started: Option<f64> },
-    Begins(usize),
-    Ends(usize),
-    Mesh,
-    Divide,
-}
-
 pub struct Play<'a> {
     scenario: &'a Scenario,
     names: Vec<&'a str>,
     now: f64,
-    events: BinaryHeap<Reverse<(i64, u64, usize)>>,
-    pending: Vec<Event>,
-    free: Vec<usize>,
-    next: u64,
+    events: EventQueue,
     rng: Pcg64Mcg,
     gateways: Vec<Gateway>,
     engines: Vec<Engine>,
@@ -331,10 +315,7 @@
             scenario,
             names: scenario.product.keys().map(String::as_str).collect(),
             now: 0.0,
-            events: BinaryHeap::new(),
-            pending: Vec::new(),
-            free: Vec::new(),
-            next: 0,
+            events: EventQueue::default(),
             rng,
             gateways,
             listed: vec![(Stage::Ready, None); scenario.engines.count],
@@ -364,12 +345,12 @@
             started: std::time::Instant::now(),
         };
         for at in 0..play.wishes.len() {
-            play.at(play.wishes[at].at, Event::Wish(at));
+            play.at(play.wishes[at].at, Event::Request(at));
         }
         for at in 0..play.troubles.len() {
             let (begins, lasts) = (play.troubles[at].1.at_s, play.troubles[at].1.for_s);
-            play.at(begins, Event::Begins(at));
-            play.at(begins + lasts, Event::Ends(at));
+            play.at(begins, Event::FaultBegins(at));
+            play.at(begins + lasts, Event::FaultEnds(at));
         }
         for gateway in 0..play.gateways.len() {
             play.tell_all(gateway);
@@ -377,7 +358,7 @@
         if let Some(mesh) = &mut play.mesh {
             mesh.start_all();
             mesh.run(MESH_AHEAD_S);
-            play.at(0.0, Event::Mesh);
+            play.at(0.0, Event::ExchangeHealth);
         }
         if let Some(parts) = &mut play.parts {
             parts.start_all();
@@ -409,7 +390,7 @@
         }
         for at in held {
             if let Some((_, relay, _)) = self.statements[at].out.filter(|_| !killed) {
-                self.at(end, Event::Due { statement: at, relay });
+                self.at(end, Event::AttemptTimeout { statement: at, attempt: relay });
             }
             if killed {
                 let statement = &mut self.statements[at];
@@ -421,7 +402,7 @@
                     self.figures.died += 1;
                     let wish = self.statements[at].wish;
                     if self.wishes[wish].tries > 0 && now + NOTICED_S < self.wishes[wish].ends {
-                        self.at(now + NOTICED_S, Event::Wish(wish));
+                        self.at(now + NOTICED_S, Event::Request(wish));
                     }
                 }
             }
@@ -502,7 +483,7 @@
             let doubts: Vec<EngineDoubt> = doubts.collect();
             hall.told_doubts(moment(self.now), &doubts);
         }
-        self.at(self.now + MESH_LOOK_S, Event::Mesh);
+        self.at(self.now + MESH_LOOK_S, Event::ExchangeHealth);
     }
 
     /// What of the members' budgets each gateway holds, for its lines.
@@ -531,7 +512,7 @@
             let rates: Vec<Option<f64>> = flows.into_iter().enumerate().map(rate).collect();
             hall.lease(now, &rates);
         }
-        self.at(self.now + MESH_LOOK_S, Event::Divide);
+        self.at(self.now + MESH_LOOK_S, Event::DivideBudgets);
     }
 
     fn fact(&self, engine: usize, stage: Stage, started: Option<f64>) -> EngineFact {
@@ -551,18 +532,7 @@
     }
 
     fn at(&mut self, at: f64, event: Event) {
-        let slot = match self.free.pop() {
-            Some(slot) => {
-                self.pending[slot] = event;
-                slot
-            }
-            None => {
-                self.pending.push(event);
-                self.pending.len() - 1
-            }
-        };
-        self.next += 1;
-        self.events.push(Reverse(((at.max(self.now) * 1e6).round() as i64, self.next, slot)));
+        self.events.schedule(at.max(self.now), event);
     }
 
     fn wake(&mut self, gateway: usize, at: f64) {
@@ -572,19 +542,16 @@
         }
         (of.tick, of.turn) = (at, of.turn + 1);
         let turn = of.turn;
-        self.at(at, Event::Tick { gateway, turn });
+        self.at(at, Event::GatewayTick { gateway, generation: turn });
     }
 
     pub fn run(mut self) -> Outcome {
         let longest = self.scenario.product.values().fold(0.0f64, |most, p| most.max(p.hard_limit_ms / 1e3));
         let end = self.scenario.seconds + longest + 1.0;
-        while let Some(Reverse((at, _, slot))) = self.events.pop() {
-            self.now = at as f64 / 1e6;
-            if self.now > end {
-                break;
-            }
-            self.free.push(slot);
-            let event = self.pending[slot].clone();
+        while let Some((at, event)) = self.events.pop()
+            && at <= end
+        {
+            self.now = at;
             self.happens(event);
         }
         self.now = end;
@@ -594,31 +561,34 @@
 
     fn happens(&mut self, event: Event) {
         match event {
-            Event::Wish(wish) => self.ask(wish),
-            Event::Tick { gateway, turn } if self.gateways[gateway].turn == turn => self.tick(gateway),
-            Event::Tick { .. } => {}
-            Event::Engine { engine, turn } if self.engines[engine].turn == turn => {
-                let ended = self.engines[engine].ended(self.now);
-                for run in ended {
-                    self.completed(run);
+            Event::Request(wish) => self.ask(wish),
+            Event::GatewayTick { gateway, generation } => {
+                if self.gateways[gateway].turn == generation {
+                    self.tick(gateway);
+                }
+            }
+            Event::EngineTick { engine, generation } => {
+                if self.engines[engine].turn == generation {
+                    for run in self.engines[engine].ended(self.now) {
+                        self.completed(run);
+                    }
+                    self.look_again(engine);
                 }
-                self.look_again(engine);
             }
-            Event::Engine { .. } => {}
-            Event::Note { engine, statement, relay } => self.note(engine, statement, relay),
-            Event::Due { statement, relay } => self.comes_to(statement, relay, News::TimedOut),
-            Event::Fails { statement, relay } => self.comes_to(statement, relay, News::Error),
-            Event::News { gateway, engine, stage, started } => {
-                let fact = self.fact(engine, stage, started);
+            Event::Progress { engine, statement, attempt } => self.note(engine, statement, attempt),
+            Event::AttemptTimeout { statement, attempt } => self.comes_to(statement, attempt, News::TimedOut),
+            Event::AttemptError { statement, attempt } => self.comes_to(statement, attempt, News::Error),
+            Event::EngineListed { gateway, engine, stage, started_s } => {
+                let fact = self.fact(engine, stage, started_s);
                 self.figures.lists_told += 1;
                 self.gateways[gateway].front.told_list(moment(self.now), &ListNews::Changes(vec![fact]));
                 self.rules.told(self.now, gateway, engine, stage == Stage::Ready);
                 self.wake(gateway, self.now);
             }
-            Event::Mesh => self.mesh(),
-            Event::Divide => self.divide(),
-            Event::Begins(at) => self.trouble(at, true),
-            Event::Ends(at) => self.trouble(at, false),
+            Event::ExchangeHealth => self.mesh(),
+            Event::DivideBudgets => self.divide(),
+            Event::FaultBegins(at) => self.trouble(at, true),
+            Event::FaultEnds(at) => self.trouble(at, false),
         }
     }
 
@@ -674,14 +644,14 @@
         self.listed[engine] = (stage, started);
         for gateway in 0..self.gateways.len() {
             let at = self.now + self.gateways[gateway].delay;
-            self.at(at, Event::News { gateway, engine, stage, started });
+            self.at(at, Event::EngineListed { gateway, engine, stage, started_s: started });
         }
     }
 
     fn look_again(&mut self, engine: usize) {
         if let Some(at) = self.engines[engine].next() {
             let turn = self.engines[engine].turn;
-            self.at(at + 1e-6, Event::Engine { engine, turn });
+            self.at(at + 1e-6, Event::EngineTick { engine, generation: turn });
         }
     }
 
@@ -779,13 +749,15 @@
         let (statement, relay) = (at, order.relay);
         match self.engines[engine].state {
             State::Down => return self.comes_to(statement, relay, News::Unreachable),
-            State::Failing => return self.at(now + FAILS_S, Event::Fails { statement, relay }),
+            State::Failing => {
+                return self.at(now + FAILS_S, Event::AttemptError { statement, attempt: relay });
+            }
             State::Well | State::Paused | State::Silent => {}
         }
         let due = (order.due - moment(0.0)).secs();
-        self.at(due, Event::Due { statement, relay });
+        self.at(due, Event::AttemptTimeout { statement, attempt: relay });
         let note = now + self.scenario.engines.note_ms / 1e3;
-        self.at(note, Event::Note { engine, statement, relay });
+        self.at(note, Event::Progress { engine, statement, attempt: relay });
         let run = Run { statement: id.0, relay: relay.0, cpu, threads, memory_mb, sent: now };
         if self.engines[engine].take(now, run) {
             self.rules.fell_over();
@@ -809,7 +781,7 @@
             front.report(moment(self.now), id, relay, News::Progress(share), latency, false);
         }
         let next = self.now + self.scenario.engines.note_ms / 1e3;
-        self.at(next, Event::Note { engine, statement, relay });
+        self.at(next, Event::Progress { engine, statement, attempt: relay });
     }
 
     fn completed(&mut self, run: Run) {
@@ -906,7 +878,7 @@
         let wait = come_back.map_or(0.1, Span::secs) * self.rng.random_range(1.0..1.2);
         let of = &self.wishes[wish];
         if of.tries > 0 && self.now + wait < of.ends - 0.05 {
-            self.at(self.now + wait, Event::Wish(wish));
+            self.at(self.now + wait, Event::Request(wish));
         }
     }
 
