Lab: connections of gateways to engines are a module of their own

Opening, reuse, idle timeout and closing stand in one type that counts handshakes and the most open.

--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -1,6 +1,7 @@
 //! One run: events in the order of simulated time, a world of engines and clients, and the real decisions in the
 //! middle.
 
+mod connections;
 mod events;
 
 use std::collections::BTreeMap;
@@ -13,6 +14,7 @@
 use rand_distr::{Distribution, Exp, StandardNormal};
 use rand_pcg::Pcg64Mcg;
 
+use self::connections::Connections;
 use self::events::{Event, EventQueue};
 use crate::engine::{Engine, Run, State};
 use crate::figures::{self, Figures, Told, ratio, well};
@@ -100,9 +102,7 @@
     engines: Vec<Engine>,
     /// As the list has them now.
     listed: Vec<(Stage, Option<f64>)>,
-    /// Free connections by gateway and engine, each since when; what stands at each engine.
-    free_links: BTreeMap<(usize, usize), Vec<f64>>,
-    standing: Vec<u64>,
+    connections: Connections,
     /// Part of the answers that each engine loses.
     loses: Vec<f64>,
     mesh: Option<Mesh<fleet::Gateway>>,
@@ -319,8 +319,7 @@
             rng,
             gateways,
             listed: vec![(Stage::Ready, None); scenario.engines.count],
-            free_links: BTreeMap::new(),
-            standing: vec![0; scenario.engines.count],
+            connections: Connections::new(scenario.engines.count, scenario.engines.idle_s),
             loses: vec![0.0; scenario.engines.count],
             mesh: scenario.fleet.then(|| mesh::gateways(scenario.gateways, seed, fleet::Terms::default())),
             parts,
@@ -396,7 +395,7 @@
                 let statement = &mut self.statements[at];
                 let (out, answered) =
                     (statement.out.take(), std::mem::replace(&mut statement.answered, true));
-                out.into_iter().for_each(|(engine, ..)| self.standing[engine] -= 1);
+                out.into_iter().for_each(|(engine, ..)| self.connections.close(engine));
                 self.rules.died(at as u64);
                 if !answered {
                     self.figures.died += 1;
@@ -411,7 +410,7 @@
             // What it held dies with it: its decisions must not go on answering.
             let fresh = front(self.scenario, self.policy, self.own.as_ref(), self.seed, gateway as u64);
             self.gateways[gateway].front = fresh;
-            self.drop_links(|at| at.0 == gateway);
+            self.connections.close_idle_of_gateway(gateway);
         }
         if let Some(mesh) = &mut self.mesh {
             if killed { mesh.kill(gateway) } else { mesh.leave(gateway) }
@@ -427,34 +426,13 @@
         let fresh = front(self.scenario, self.policy, self.own.as_ref(), seed, gateway as u64);
         let of = &mut self.gateways[gateway];
         (of.front, of.away, of.told) = (fresh, false, BTreeMap::new());
-        self.drop_links(|at| at.0 == gateway);
+        self.connections.close_idle_of_gateway(gateway);
         self.tell_all(gateway);
         self.mesh.iter_mut().for_each(|mesh| mesh.start(gateway));
         self.parts.iter_mut().for_each(|parts| parts.start(gateway));
         self.flows[gateway].clear();
     }
 
-    fn drop_links(&mut self, of: impl Fn(&(usize, usize)) -> bool) {
-        let gone: Vec<_> = self.free_links.extract_if(.., |at, _| of(at)).collect();
-        for ((_, engine), free) in gone {
-            self.standing[engine] -= free.len() as u64;
-        }
-    }
-
-    /// A free connection, or a new one.
-    fn connect(&mut self, gateway: usize, engine: usize) {
-        let (now, idle) = (self.now, self.scenario.engines.idle_s.unwrap_or(f64::INFINITY));
-        let free = self.free_links.entry((gateway, engine)).or_default();
-        let before = free.len();
-        free.retain(|since| now - since < idle);
-        self.standing[engine] -= (before - free.len()) as u64;
-        if free.pop().is_none() {
-            self.figures.handshakes += 1;
-            self.standing[engine] += 1;
-        }
-        self.figures.most_connections = self.figures.most_connections.max(self.standing[engine]);
-    }
-
     /// Gateways tell each other what they see of engines.
     fn mesh(&mut self) {
         let ahead = Span::from_secs(MESH_AHEAD_S);
@@ -633,7 +611,7 @@
     }
 
     fn reset(&mut self, engine: usize) {
-        self.drop_links(|at| at.1 == engine);
+        self.connections.close_idle_to_engine(engine);
         for run in self.engines[engine].drop_all(self.now) {
             self.comes_to(run.statement as usize, RelayNo(run.relay), News::Reset);
         }
@@ -743,7 +721,7 @@
         let (cpu, threads, memory_mb) = (wish.cpu, product.threads, product.memory_mb);
         let zone = self.zone(engine);
         self.rules.sent(now, id.0, engine, zone);
-        self.connect(self.statements[at].gateway, engine);
+        self.connections.acquire(now, self.statements[at].gateway, engine);
         self.figures.relays += 1;
         self.statements[at].out = Some((engine, order.relay, now));
         let (statement, relay) = (at, order.relay);
@@ -847,10 +825,10 @@
         self.figures.timed_out += u64::from(news == News::TimedOut);
         // After these the connection is of no further use.
         if matches!(news, News::TimedOut | News::Reset | News::Unreachable) {
-            self.standing[engine] -= 1;
+            self.connections.close(engine);
         } else {
             let gateway = self.statements[at].gateway;
-            self.free_links.entry((gateway, engine)).or_default().push(self.now);
+            self.connections.release(self.now, gateway, engine);
         }
         let never = [News::Unreachable, News::TurnedAway, News::NeverSent, News::Withdrawn];
         let ran = !never.contains(&news);
@@ -950,6 +928,8 @@
         self.waits.extend(self.told.iter().map(|told| told.real));
         figures.waits = figures::waits(std::mem::take(&mut self.waits));
         figures.longest_passed_over_ms = (self.longest_passed * 1e6).round() / 1e3;
+        figures.handshakes = self.connections.handshakes;
+        figures.most_connections = self.connections.most_open;
         figures.service = ratio(gain, asked_gain);
         figures.rules_broken = self.rules.count();
         figures.rules = self.rules.broken.clone();
