--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -3,6 +3,7 @@
 
 mod connections;
 mod events;
+mod wait_history;
 
 use std::collections::BTreeMap;
 
@@ -16,6 +17,7 @@
 
 use self::connections::Connections;
 use self::events::{Event, EventQueue};
+use self::wait_history::WaitHistory;
 use crate::engine::{Engine, Run, State};
 use crate::figures::{self, Figures, Told, ratio, well};
 use crate::front::{Front, Policy};
@@ -77,21 +79,11 @@
     away: bool,
     tick: f64,
     turn: u64,
-    plain: BTreeMap<(u32, usize), Plain>,
+    wait_history: BTreeMap<(u32, usize), WaitHistory>,
     /// Its own benches that others were told of, and until when.
     told: BTreeMap<EngineId, Moment>,
 }
 
-/// Estimators to compare with, by desk and product.
-#[derive(Clone, Copy, Debug, Default)]
-struct Plain {
-    last: f64,
-    sum: f64,
-    count: f64,
-    released: f64,
-    between: f64,
-}
-
 pub struct Play<'a> {
     scenario: &'a Scenario,
     names: Vec<&'a str>,
@@ -298,8 +290,8 @@
         let gateways = (0..scenario.gateways).map(|at| {
             let front = front(scenario, policy, own.as_ref(), seed, at as u64);
             let delay = scenario.list_delay_ms / 1e3 * rng.random_range(0.2..1.0);
-            let (plain, told) = (BTreeMap::new(), BTreeMap::new());
-            Gateway { front, delay, away: false, tick: f64::INFINITY, turn: 0, plain, told }
+            let (wait_history, told) = (BTreeMap::new(), BTreeMap::new());
+            Gateway { front, delay, away: false, tick: f64::INFINITY, turn: 0, wait_history, told }
         });
         let gateways: Vec<_> = gateways.collect();
         let ration = Some(RATION);
@@ -676,9 +668,8 @@
         let Some(status) = of.front.hall().and_then(|hall| hall.statement(moment(self.now), id)) else {
             return;
         };
-        let plain = of.plain.get(&(desk.0, product)).copied().unwrap_or_default();
-        let mean = plain.sum / plain.count.max(1.0);
-        self.plain.insert(id, [plain.last, mean, f64::from(status.ahead) * plain.between]);
+        let history = of.wait_history.get(&(desk.0, product)).copied().unwrap_or_default();
+        self.plain.insert(id, history.estimates(status.ahead));
     }
 
     fn tick(&mut self, gateway: usize) {
@@ -691,10 +682,8 @@
             let plain = self.plain.remove(&wait.id).unwrap_or_default();
             let (desk, product) = (wait.desk.0, wait.product.0);
             self.told.push(Told { at: self.now, gateway, desk, product, told, p90, real, plain });
-            let of = self.gateways[gateway].plain.entry((wait.desk.0, wait.product.0)).or_default();
-            let between = self.now - of.released;
-            of.between = if of.count > 0.0 { of.between * 0.9 + between.min(10.0) * 0.1 } else { 0.0 };
-            (of.last, of.sum, of.count, of.released) = (real, of.sum + real, of.count + 1.0, self.now);
+            let history = self.gateways[gateway].wait_history.entry((desk, product)).or_default();
+            history.record(self.now, real);
         }
         if let Some(hall) = self.gateways[gateway].front.hall() {
             self.longest_passed = self.longest_passed.max(hall.longest_passed().secs());
--- /dev/null
+++ b/crates/lab/src/play/wait_history.rs
@@ -0,0 +1,39 @@
+//! Plain wait estimators, to compare the estimates of the queues with.
+
+/// Weights of the mean so far and of the new interval.
+const MEAN_WEIGHT: f64 = 0.9;
+const INTERVAL_WEIGHT: f64 = 0.1;
+const LONGEST_INTERVAL_S: f64 = 10.0;
+
+/// Past waits of one query class in one queue of a gateway.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct WaitHistory {
+    last_wait_s: f64,
+    total_wait_s: f64,
+    count: f64,
+    last_release_s: f64,
+    mean_interval_s: f64,
+}
+
+impl WaitHistory {
+    /// Three estimates of a wait: the last wait, the mean wait, and the statements ahead by the mean time between
+    /// releases.
+    pub(super) fn estimates(&self, statements_ahead: u32) -> [f64; 3] {
+        let mean_wait_s = self.total_wait_s / self.count.max(1.0);
+        [self.last_wait_s, mean_wait_s, f64::from(statements_ahead) * self.mean_interval_s]
+    }
+
+    /// A statement was released after this wait.
+    pub(super) fn record(&mut self, now_s: f64, wait_s: f64) {
+        let interval_s = (now_s - self.last_release_s).min(LONGEST_INTERVAL_S);
+        self.mean_interval_s = if self.count > 0.0 {
+            self.mean_interval_s * MEAN_WEIGHT + interval_s * INTERVAL_WEIGHT
+        } else {
+            0.0
+        };
+        self.last_wait_s = wait_s;
+        self.total_wait_s += wait_s;
+        self.count += 1.0;
+        self.last_release_s = now_s;
+    }
+}
