Lab: drawing of clients' requests is a module of its own

Drawing is by source (one query class in one queue), with short functions; the order of draws stays.

--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -3,6 +3,7 @@
 
 mod connections;
 mod events;
+mod requests;
 mod wait_history;
 
 use std::collections::BTreeMap;
@@ -10,13 +11,13 @@
 use admission::interface::*;
 use admission::policy::Policy as Module;
 use dispatch::{Dispatch, Order, Pick, Verdict, Wants};
-use queues::{Belongs, DeskId, Directory};
+use queues::{DeskId, Directory};
 use rand::{RngExt, SeedableRng};
-use rand_distr::{Distribution, Exp, StandardNormal};
 use rand_pcg::Pcg64Mcg;
 
 use self::connections::Connections;
 use self::events::{Event, EventQueue};
+use self::requests::Request;
 use self::wait_history::WaitHistory;
 use crate::engine::{Engine, Run, State};
 use crate::figures::{self, Figures, Told, ratio, well};
@@ -48,25 +49,8 @@
 /// "At once", of a denial.
 const AT_ONCE_S: f64 = 0.05;
 
-/// What a client wants, the same whatever stands before the decisions.
-#[derive(Clone, Debug)]
-struct Wish {
-    at: f64,
-    member: usize,
-    desk: DeskId,
-    product: usize,
-    gateway: usize,
-    cpu: f64,
-    estimate: f64,
-    group: u32,
-    key: Option<u64>,
-    tries: u32,
-    ends: f64,
-    done: bool,
-}
-
 struct Statement {
-    wish: usize,
+    request: usize,
     gateway: usize,
     taken: f64,
     out: Option<(usize, RelayNo, f64)>,
@@ -105,7 +89,7 @@
     own: Option<queues::Terms>,
     seed: u64,
     troubles: Vec<(Kind, Trouble)>,
-    wishes: Vec<Wish>,
+    requests: Vec<Request>,
     statements: Vec<Statement>,
     /// Those told an estimate and still waiting: what plain estimators said.
     plain: BTreeMap<StatementId, [f64; 3]>,
@@ -191,91 +175,11 @@
     Front::new(policy, Dispatch::new(module(scenario, seed)), own, scenario.product.len(), seed)
 }
 
-/// Whose client it is: evenly, or by the member's own order of gateways.
-fn drawn(scenario: &Scenario, ranks: &[f64], member: usize, rng: &mut Pcg64Mcg) -> usize {
-    if scenario.uneven <= 0.0 {
-        return rng.random_range(0..scenario.gateways);
-    }
-    let at = rng.random::<f64>() * ranks.last().copied().unwrap_or(0.0);
-    (ranks.partition_point(|sum| *sum < at) + member * 7) % scenario.gateways
-}
-
-/// The day's wishes, drawn before anything is decided, so that every policy meets the same.
-fn wishes(scenario: &Scenario, directory: Option<&Directory>, seed: u64) -> Result<Vec<Wish>, String> {
-    let products: Vec<_> = scenario.product.iter().collect();
-    let floods: Vec<_> = scenario.troubles()?.into_iter().filter(|(kind, _)| *kind == Kind::Flood).collect();
-    let (mut wishes, mut stream) = (Vec::new(), 0);
-    let mut number = 0;
-    let ranks: Vec<f64> = (0..scenario.gateways)
-        .scan(0.0, |sum, at| {
-            *sum += (1.0 + at as f64).powf(-scenario.uneven);
-            Some(*sum)
-        })
-        .collect();
-    for (member, (name, desks)) in scenario.traffic.iter().enumerate() {
-        for (desk_name, traffic) in desks {
-            let found = directory.map(|of| of.find(Some(name), Some(desk_name), None));
-            let desk = found.unwrap_or(Belongs { desk: DeskId(number), known: true }).desk;
-            number += 1;
-            for (product, (product_name, of)) in products.iter().enumerate() {
-                stream += 1;
-                let mut rng = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(1_000_003).wrapping_add(stream));
-                let per_s = traffic.per_s.get(*product_name).copied().unwrap_or(0.0);
-                let matching = floods.iter().map(|(_, flood)| flood).filter(|flood| {
-                    flood.member.as_ref().is_none_or(|m| m == name)
-                        && flood.product.as_ref().is_none_or(|p| p == *product_name)
-                });
-                let matching: Vec<_> = matching.collect();
-                let most = matching.iter().fold(per_s, |most, flood| most.max(per_s * flood.times));
-                if most <= 0.0 {
-                    continue;
-                }
-                let mut at = 0.0;
-                loop {
-                    at += Exp::new(most).map_err(|e| e.to_string())?.sample(&mut rng);
-                    if at >= scenario.seconds {
-                        break;
-                    }
-                    let during = |flood: &&&Trouble| flood.at_s <= at && at < flood.at_s + flood.for_s;
-                    let rate =
-                        matching.iter().filter(during).fold(per_s, |rate, f| rate.max(per_s * f.times));
-                    let [cost, guess]: [f64; 2] = std::array::from_fn(|_| StandardNormal.sample(&mut rng));
-                    let spread = of.cpu_spread;
-                    let cpu = of.cpu_ms / 1e3 * (spread * cost - spread * spread / 2.0).exp();
-                    let group = rng.random_range(0..of.table_groups.max(1));
-                    // Estimates lie in one direction for each table group, as statistics do.
-                    let bias = [0.5, 1.0, 2.0][group as usize % 3] * of.estimate_times;
-                    let wish = Wish {
-                        at,
-                        member,
-                        desk,
-                        product,
-                        gateway: drawn(scenario, &ranks, member, &mut rng),
-                        cpu,
-                        estimate: cpu * bias * (of.estimate_spread * guess).exp(),
-                        group,
-                        key: (of.keys > 0).then(|| rng.random_range(0..of.keys.max(1))),
-                        tries: scenario.client_tries,
-                        ends: at + of.hard_limit_ms / 1e3,
-                        done: false,
-                    };
-                    // Thinned after all draws, so that the usual traffic is the same with and without a flood.
-                    if rng.random::<f64>() * most < rate {
-                        wishes.push(wish);
-                    }
-                }
-            }
-        }
-    }
-    wishes.sort_by(|a, b| a.at.total_cmp(&b.at));
-    Ok(wishes)
-}
-
 impl<'a> Play<'a> {
     pub fn new(scenario: &'a Scenario, policy: Policy, seed: u64) -> Result<Self, String> {
         let terms = scenario.terms()?;
         let directory = terms.as_ref().map(Directory::new);
-        let wishes = wishes(scenario, directory.as_ref(), seed)?;
+        let requests = requests::draw(scenario, directory.as_ref(), seed)?;
         let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x5eed);
         let count = scenario.gateways as f64;
         // The file's budgets are of all gateways together.
@@ -332,11 +236,11 @@
             spans: Vec::new(),
             members,
             claims,
-            wishes,
+            requests,
             started: std::time::Instant::now(),
         };
-        for at in 0..play.wishes.len() {
-            play.at(play.wishes[at].at, Event::Request(at));
+        for at in 0..play.requests.len() {
+            play.at(play.requests[at].arrival_s, Event::Request(at));
         }
         for at in 0..play.troubles.len() {
             let (begins, lasts) = (play.troubles[at].1.at_s, play.troubles[at].1.for_s);
@@ -391,9 +295,11 @@
                 self.rules.died(at as u64);
                 if !answered {
                     self.figures.died += 1;
-                    let wish = self.statements[at].wish;
-                    if self.wishes[wish].tries > 0 && now + NOTICED_S < self.wishes[wish].ends {
-                        self.at(now + NOTICED_S, Event::Request(wish));
+                    let request = self.statements[at].request;
+                    if self.requests[request].tries_left > 0
+                        && now + NOTICED_S < self.requests[request].deadline_s
+                    {
+                        self.at(now + NOTICED_S, Event::Request(request));
                     }
                 }
             }
@@ -531,7 +437,7 @@
 
     fn happens(&mut self, event: Event) {
         match event {
-            Event::Request(wish) => self.ask(wish),
+            Event::Request(request) => self.ask(request),
             Event::GatewayTick { gateway, generation } => {
                 if self.gateways[gateway].turn == generation {
                     self.tick(gateway);
@@ -627,36 +533,37 @@
 
     fn ask(&mut self, at: usize) {
         let now = self.now;
-        let wish = self.wishes[at].clone();
-        let product = &self.scenario.product[self.names[wish.product]];
-        if wish.tries == self.scenario.client_tries {
-            self.span(wish.member).0 += wish.cpu;
+        let request = self.requests[at].clone();
+        let product = &self.scenario.product[self.names[request.class]];
+        if request.tries_left == self.scenario.client_tries {
+            self.span(request.tenant).0 += request.cpu_s;
         }
-        self.wishes[at].tries -= 1;
+        self.requests[at].tries_left -= 1;
         let statement = self.statements.len();
         let id = StatementId(statement as u64);
         let count = self.gateways.len();
-        let mut gateway = wish.gateway;
+        let mut gateway = request.gateway;
         for _ in 0..count {
             gateway = if self.gateways[gateway].away { (gateway + 1) % count } else { gateway };
         }
-        self.statements.push(Statement { wish: at, gateway, taken: now, out: None, answered: false });
+        self.statements.push(Statement { request: at, gateway, taken: now, out: None, answered: false });
         self.figures.statements += 1;
-        let seen = Seen::new(gateway, wish.ends, product.unrepeatable, wish.key, product.zone);
+        let seen =
+            Seen::new(gateway, request.deadline_s, product.unrepeatable, request.order_key, product.zone);
         self.rules.took(now, statement as u64, seen);
         let wants = Wants {
-            product: ProductId(wish.product),
-            tenant: TenantId(wish.member),
-            group: GroupId(wish.group),
-            estimate: Some(Span::from_secs(wish.estimate)),
+            product: ProductId(request.class),
+            tenant: TenantId(request.tenant),
+            group: GroupId(request.table_group),
+            estimate: Some(Span::from_secs(request.estimate_s)),
             memory_mb: product.memory_mb,
-            key: wish.key.map(OrderKey),
+            key: request.order_key.map(OrderKey),
             marked: true,
-            budget: Span::from_secs(wish.ends - now),
+            budget: Span::from_secs(request.deadline_s - now),
         };
-        let pick = self.gateways[gateway].front.pick(moment(now), id, wish.desk, &wants);
+        let pick = self.gateways[gateway].front.pick(moment(now), id, request.queue, &wants);
         if pick == Pick::Held {
-            self.note_plain(gateway, id, wish.desk, wish.product);
+            self.note_plain(gateway, id, request.queue, request.class);
         }
         self.picked(id, pick);
         self.wake(gateway, now);
@@ -705,9 +612,9 @@
 
     fn send(&mut self, id: StatementId, order: Order) {
         let (now, at, engine) = (self.now, id.0 as usize, order.engine.0 as usize);
-        let wish = &self.wishes[self.statements[at].wish];
-        let product = &self.scenario.product[self.names[wish.product]];
-        let (cpu, threads, memory_mb) = (wish.cpu, product.threads, product.memory_mb);
+        let request = &self.requests[self.statements[at].request];
+        let product = &self.scenario.product[self.names[request.class]];
+        let (cpu, threads, memory_mb) = (request.cpu_s, product.threads, product.memory_mb);
         let zone = self.zone(engine);
         self.rules.sent(now, id.0, engine, zone);
         self.connections.acquire(now, self.statements[at].gateway, engine);
@@ -766,26 +673,26 @@
             self.statements[at].answered = true;
             self.rules.answered(self.now, run.statement, false);
             self.figures.completed += 1;
-            let Statement { wish, taken, .. } = self.statements[at];
-            let took = &mut self.took[self.wishes[wish].product];
+            let Statement { request, taken, .. } = self.statements[at];
+            let took = &mut self.took[self.requests[request].class];
             took.0.push(run.sent - taken);
             took.1.push(self.now - run.sent);
-            self.served(wish);
+            self.served(request);
         }
         self.comes_to(at, RelayNo(run.relay), news);
     }
 
     fn served(&mut self, at: usize) {
         let now = self.now;
-        let wish = &mut self.wishes[at];
-        if std::mem::replace(&mut wish.done, true) {
+        let request = &mut self.requests[at];
+        if std::mem::replace(&mut request.served, true) {
             return;
         }
-        let (member, cpu) = (wish.member, wish.cpu);
-        let of = &self.scenario.product[self.names[wish.product]];
+        let (member, cpu) = (request.tenant, request.cpu_s);
+        let of = &self.scenario.product[self.names[request.class]];
         let quoted = of.quoted_ms / 1e3 + of.quoted_stretch * cpu / of.threads;
-        let in_time = now - wish.at <= quoted;
-        let name = self.names[wish.product].to_owned();
+        let in_time = now - request.arrival_s <= quoted;
+        let name = self.names[request.class].to_owned();
         let gain = if in_time { of.gain } else { of.gain * of.late_gain };
         self.span(member).1 += cpu;
         let counted = self.figures.members.entry(self.members[member].clone()).or_default();
@@ -841,11 +748,11 @@
         self.figures.denied += 1;
         self.figures.denied_at_once += u64::from(self.now - self.statements[at].taken <= AT_ONCE_S);
         self.statements[at].answered = true;
-        let wish = self.statements[at].wish;
+        let request = self.statements[at].request;
         let wait = come_back.map_or(0.1, Span::secs) * self.rng.random_range(1.0..1.2);
-        let of = &self.wishes[wish];
-        if of.tries > 0 && self.now + wait < of.ends - 0.05 {
-            self.at(self.now + wait, Event::Request(wish));
+        let of = &self.requests[request];
+        if of.tries_left > 0 && self.now + wait < of.deadline_s - 0.05 {
+            self.at(self.now + wait, Event::Request(request));
         }
     }
 
@@ -859,22 +766,22 @@
     fn sum_up(mut self) -> Outcome {
         let mut figures = std::mem::take(&mut self.figures);
         let (mut gain, mut asked_gain) = (0.0, 0.0);
-        for wish in &self.wishes {
-            let name = self.names[wish.product];
+        for request in &self.requests {
+            let name = self.names[request.class];
             let of = &self.scenario.product[name];
-            let member = figures.members.entry(self.members[wish.member].clone()).or_default();
+            let member = figures.members.entry(self.members[request.tenant].clone()).or_default();
             member.asked += 1;
-            member.cpu_asked += wish.cpu;
+            member.cpu_asked += request.cpu_s;
             figures.products.entry(name.to_owned()).or_default().asked += 1;
             asked_gain += of.gain;
         }
         let seconds = self.scenario.seconds;
         for (at, name) in self.members.iter().enumerate() {
             let asked: f64 = self
-                .wishes
+                .requests
                 .iter()
-                .filter(|wish| wish.member == at)
-                .map(|wish| self.scenario.product[self.names[wish.product]].gain)
+                .filter(|request| request.tenant == at)
+                .map(|request| self.scenario.product[self.names[request.class]].gain)
                 .sum();
             let member = figures.members.entry(name.clone()).or_default();
             gain += member.service;
--- /dev/null
+++ b/crates/lab/src/play/requests.rs
@@ -0,0 +1,182 @@
+//! Clients' requests of one run, drawn before anything is decided, so that every policy meets the same ones.
+
+use queues::{DeskId, Directory};
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, StandardNormal};
+use rand_pcg::Pcg64Mcg;
+
+use crate::scenario::{Kind, Product, Scenario, Trouble};
+
+/// Keeps the random streams of one seed apart from those of the next.
+const SEED_STRIDE: u64 = 1_000_003;
+/// Estimates lie in one direction for each table group, as statistics do.
+const TABLE_GROUP_BIAS: [f64; 3] = [0.5, 1.0, 2.0];
+/// Tenants prefer gateways in the same order, each from another start.
+const PREFERENCE_STEP: usize = 7;
+
+/// A request of a client, the same whatever the policy.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub(super) arrival_s: f64,
+    pub(super) tenant: usize,
+    pub(super) queue: DeskId,
+    pub(super) class: usize,
+    /// The gateway that its client is connected to.
+    pub(super) gateway: usize,
+    pub(super) cpu_s: f64,
+    pub(super) estimate_s: f64,
+    pub(super) table_group: u32,
+    pub(super) order_key: Option<u64>,
+    pub(super) tries_left: u32,
+    pub(super) deadline_s: f64,
+    pub(super) served: bool,
+}
+
+/// All requests of a run, in the order of their arrival.
+pub(super) fn draw(
+    scenario: &Scenario,
+    directory: Option<&Directory>,
+    seed: u64,
+) -> Result<Vec<Request>, String> {
+    let mut floods = scenario.troubles()?;
+    floods.retain(|(kind, _)| *kind == Kind::Flood);
+    let gateways = GatewayPreference::new(scenario);
+    let mut requests = Vec::new();
+    let mut queues = 0;
+    let mut streams = 0;
+    for (tenant, (tenant_name, traffic_by_queue)) in scenario.traffic.iter().enumerate() {
+        for (queue_name, traffic) in traffic_by_queue {
+            let found = directory.map(|known| known.find(Some(tenant_name), Some(queue_name), None).desk);
+            let queue = found.unwrap_or(DeskId(queues));
+            queues += 1;
+            for (class, (class_name, settings)) in scenario.product.iter().enumerate() {
+                streams += 1;
+                let mut rng = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(SEED_STRIDE).wrapping_add(streams));
+                let floods = floods.iter().map(|(_, flood)| flood);
+                let source = Source {
+                    scenario,
+                    gateways: &gateways,
+                    tenant,
+                    queue,
+                    class,
+                    settings,
+                    usual_per_s: traffic.per_s.get(class_name).copied().unwrap_or(0.0),
+                    floods: floods.filter(|flood| concerns(flood, tenant_name, class_name)).collect(),
+                };
+                source.draw(&mut rng, &mut requests)?;
+            }
+        }
+    }
+    requests.sort_by(|a, b| a.arrival_s.total_cmp(&b.arrival_s));
+    Ok(requests)
+}
+
+/// Whether a flood raises the traffic of this tenant and query class.
+fn concerns(flood: &Trouble, tenant: &str, class: &str) -> bool {
+    flood.member.as_ref().is_none_or(|name| name == tenant)
+        && flood.product.as_ref().is_none_or(|name| name == class)
+}
+
+/// The requests of one query class in one queue of a tenant.
+struct Source<'a> {
+    scenario: &'a Scenario,
+    gateways: &'a GatewayPreference,
+    tenant: usize,
+    queue: DeskId,
+    class: usize,
+    settings: &'a Product,
+    usual_per_s: f64,
+    floods: Vec<&'a Trouble>,
+}
+
+impl Source<'_> {
+    fn draw(&self, rng: &mut Pcg64Mcg, requests: &mut Vec<Request>) -> Result<(), String> {
+        let peak_per_s = self.rate_under(self.floods.iter());
+        if peak_per_s <= 0.0 {
+            return Ok(());
+        }
+        let interval_s = Exp::new(peak_per_s).map_err(|error| error.to_string())?;
+        let mut now_s = 0.0;
+        loop {
+            now_s += interval_s.sample(rng);
+            if now_s >= self.scenario.seconds {
+                return Ok(());
+            }
+            let request = self.request(now_s, rng);
+            let rate_per_s = self.rate_under(self.floods.iter().filter(|flood| lasts(flood, now_s)));
+            // Thinned after all draws, so that the usual traffic is the same with and without a flood.
+            if rng.random::<f64>() * peak_per_s < rate_per_s {
+                requests.push(request);
+            }
+        }
+    }
+
+    /// Requests a second while these floods last.
+    fn rate_under<'f>(&self, floods: impl Iterator<Item = &'f &'f Trouble>) -> f64 {
+        floods.fold(self.usual_per_s, |most, flood| most.max(self.usual_per_s * flood.times))
+    }
+
+    /// One request; the order of the draws is part of what a seed means.
+    fn request(&self, arrival_s: f64, rng: &mut Pcg64Mcg) -> Request {
+        let settings = self.settings;
+        let cost: f64 = StandardNormal.sample(rng);
+        let misjudgement: f64 = StandardNormal.sample(rng);
+        let table_group = rng.random_range(0..settings.table_groups.max(1));
+        let gateway = self.gateways.draw(self.tenant, rng);
+        let order_key = (settings.keys > 0).then(|| rng.random_range(0..settings.keys.max(1)));
+        let spread = settings.cpu_spread;
+        let cpu_s = settings.cpu_ms / 1e3 * (spread * cost - spread * spread / 2.0).exp();
+        let bias = TABLE_GROUP_BIAS[table_group as usize % TABLE_GROUP_BIAS.len()] * settings.estimate_times;
+        Request {
+            arrival_s,
+            tenant: self.tenant,
+            queue: self.queue,
+            class: self.class,
+            gateway,
+            cpu_s,
+            estimate_s: cpu_s * bias * (settings.estimate_spread * misjudgement).exp(),
+            table_group,
+            order_key,
+            tries_left: self.scenario.client_tries,
+            deadline_s: arrival_s + settings.hard_limit_ms / 1e3,
+            served: false,
+        }
+    }
+}
+
+fn lasts(flood: &Trouble, now_s: f64) -> bool {
+    flood.at_s <= now_s && now_s < flood.at_s + flood.for_s
+}
+
+/// Which gateways clients connect to: all alike, or mostly a few, in an order of the tenant's own.
+struct GatewayPreference {
+    count: usize,
+    skewed: bool,
+    /// By rank, the sum of the weights up to it.
+    cumulative_weights: Vec<f64>,
+}
+
+impl GatewayPreference {
+    fn new(scenario: &Scenario) -> Self {
+        let mut sum = 0.0;
+        let cumulative = |rank: usize| {
+            sum += (1.0 + rank as f64).powf(-scenario.uneven);
+            sum
+        };
+        GatewayPreference {
+            count: scenario.gateways,
+            skewed: scenario.uneven > 0.0,
+            cumulative_weights: (0..scenario.gateways).map(cumulative).collect(),
+        }
+    }
+
+    fn draw(&self, tenant: usize, rng: &mut Pcg64Mcg) -> usize {
+        if !self.skewed {
+            return rng.random_range(0..self.count);
+        }
+        let total = self.cumulative_weights.last().copied().unwrap_or(0.0);
+        let drawn = rng.random::<f64>() * total;
+        let rank = self.cumulative_weights.partition_point(|sum| *sum < drawn);
+        (rank + tenant * PREFERENCE_STEP) % self.count
+    }
+}
