--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -2,6 +2,7 @@
 //! middle.
 
 mod connections;
+mod deployment;
 mod events;
 mod requests;
 mod wait_history;
@@ -9,13 +10,13 @@
 use std::collections::BTreeMap;
 
 use admission::interface::*;
-use admission::policy::Policy as Module;
-use dispatch::{Dispatch, Order, Pick, Verdict, Wants};
+use dispatch::{Order, Pick, Verdict, Wants};
 use queues::{DeskId, Directory};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use self::connections::Connections;
+use self::deployment::FrontFactory;
 use self::events::{Event, EventQueue};
 use self::requests::Request;
 use self::wait_history::WaitHistory;
@@ -24,20 +25,11 @@
 use crate::front::{Front, Policy};
 use crate::mesh::{self, Mesh};
 use crate::parts::{self, Part};
-use crate::rules::{self, Rules, Seen};
+use crate::rules::{Rules, Seen};
 use crate::scenario::{Budgets, Kind, Scenario, Trouble};
 
 /// How soon an engine that fails all says so.
 const FAILS_S: f64 = 0.005;
-/// Of the emulated deployment: relays of a statement at most, the longest time to come back, grace after a drain, and
-/// the ration of further relays.
-const RELAYS: usize = 6;
-const COME_BACK_S: f64 = 0.5;
-const DRAIN_GRACE_S: f64 = 0.25;
-const ANSWER_GRACE_S: f64 = 0.02;
-/// Part of a statement's gain where its member is over its allowance.
-const OVER_GAIN: f64 = 0.05;
-const RATION: (f64, f64, f64) = (20.0, 0.25, 10.0);
 /// Fairness is looked at over spans of this length.
 const SPAN_S: f64 = 5.0;
 /// Gateways know each other by the time a day begins; how often they compare what they see of engines.
@@ -85,8 +77,7 @@
     /// Where budgets are divided by leases; what each gateway's lines wanted and paid by the last look.
     parts: Option<Mesh<Part>>,
     flows: Vec<Vec<(f64, f64)>>,
-    policy: Policy,
-    own: Option<queues::Terms>,
+    fronts: FrontFactory<'a>,
     seed: u64,
     troubles: Vec<(Kind, Trouble)>,
     requests: Vec<Request>,
@@ -123,58 +114,6 @@
     Moment::from_secs(secs)
 }
 
-fn module(scenario: &Scenario, seed: u64) -> Module {
-    let engines = &scenario.engines;
-    let product = |of: &crate::scenario::Product| Product {
-        effect: if of.unrepeatable { Effect::Unrepeatable } else { Effect::Idempotent },
-        gain: of.gain,
-        late_gain: of.late_gain,
-        quoted: Span::from_secs(of.quoted_ms / 1e3),
-        quoted_stretch: of.quoted_stretch,
-        hard_limit: Span::from_secs(of.hard_limit_ms / 1e3),
-        threads: of.threads,
-        in_turn: of.keys > 0,
-        locations: of.zone.map(|zone| vec![LocationId(zone)]),
-        machines: None,
-    };
-    let fleet = Fleet {
-        peers: scenario.gateways as f64,
-        cores: vec![engines.cores],
-        memory_mb: vec![engines.memory_mb],
-        note_pace: Some(Span::from_secs(engines.note_ms / 1e3)),
-        ranks_heeded: false,
-        idle: engines.idle_s.filter(|_| !scenario.idle_untold).map(Span::from_secs),
-    };
-    let cold = ColdStart {
-        share: engines.cold_share,
-        warm_after: Span::from_secs(engines.cold_s),
-        multiple: engines.tip_multiple,
-        window: Span::from_secs(engines.tip_s),
-    };
-    let (free, share, window) = RATION;
-    let relaying = Relaying {
-        most: RELAYS,
-        cancel: false,
-        come_back: Some(Span::from_secs(COME_BACK_S)),
-        settle: Span::from_secs(0.5),
-        ration: Some(Ration { free, share, window: Span::from_secs(window) }),
-    };
-    let listing = Listing { on_request: false, ask_within: Span::from_secs(10.0) };
-    let products = scenario.product.values().map(product).collect();
-    let tenancy = scenario.allowance_times.map_or_else(Tenancy::default, |times| {
-        let usual = |desks: &std::collections::BTreeMap<String, crate::scenario::Traffic>| {
-            desks.values().flat_map(|of| of.per_s.values()).sum::<f64>() * times
-        };
-        Tenancy { allowances: scenario.traffic.values().map(usual).collect(), over_gain: OVER_GAIN }
-    });
-    Module::new(seed, products, tenancy, fleet, Some(cold), relaying, listing)
-}
-
-fn front(scenario: &Scenario, policy: Policy, own: Option<&queues::Terms>, seed: u64, at: u64) -> Front {
-    let seed = seed.wrapping_mul(7919).wrapping_add(at);
-    Front::new(policy, Dispatch::new(module(scenario, seed)), own, scenario.product.len(), seed)
-}
-
 impl<'a> Play<'a> {
     pub fn new(scenario: &'a Scenario, policy: Policy, seed: u64) -> Result<Self, String> {
         let terms = scenario.terms()?;
@@ -184,7 +123,8 @@
         let count = scenario.gateways as f64;
         // The file's budgets are of all gateways together.
         let part = if scenario.budgets == Budgets::Guess { 1.0 / count } else { 1.0 };
-        let own = terms.as_ref().map(|terms| terms.part(part));
+        let queue_terms = terms.as_ref().map(|terms| terms.part(part));
+        let fronts = FrontFactory { scenario, policy, queue_terms };
         let parts = terms.as_ref().filter(|_| scenario.budgets == Budgets::Leases);
         let parts = parts.map(|terms| {
             let terms = parts::members(&terms.members, scenario.gateways);
@@ -192,15 +132,12 @@
         });
         let products = scenario.product.len();
         let gateways = (0..scenario.gateways).map(|at| {
-            let front = front(scenario, policy, own.as_ref(), seed, at as u64);
+            let front = fronts.build(seed, at);
             let delay = scenario.list_delay_ms / 1e3 * rng.random_range(0.2..1.0);
             let (wait_history, told) = (BTreeMap::new(), BTreeMap::new());
             Gateway { front, delay, away: false, tick: f64::INFINITY, turn: 0, wait_history, told }
         });
         let gateways: Vec<_> = gateways.collect();
-        let ration = Some(RATION);
-        let terms_of_rules =
-            rules::Terms { drain_grace_s: DRAIN_GRACE_S, answer_grace_s: ANSWER_GRACE_S, ration };
         let members: Vec<String> = scenario.traffic.keys().cloned().collect();
         let claim = |name: &String| {
             let found = terms.as_ref().and_then(|t| t.members.iter().find(|m| m.name == *name));
@@ -220,14 +157,13 @@
             mesh: scenario.fleet.then(|| mesh::gateways(scenario.gateways, seed, fleet::Terms::default())),
             parts,
             flows: vec![Vec::new(); scenario.gateways],
-            policy,
-            own,
+            fronts,
             seed,
             engines: (0..scenario.engines.count).map(|_| Engine::new(scenario.engines.clone())).collect(),
             troubles: scenario.troubles()?,
             statements: Vec::new(),
             plain: BTreeMap::new(),
-            rules: Rules::new(terms_of_rules, scenario.gateways),
+            rules: Rules::new(deployment::rules(), scenario.gateways),
             figures: Figures { policy: policy.name().into(), seed, ..Figures::default() },
             told: Vec::new(),
             waits: Vec::new(),
@@ -306,7 +242,7 @@
         }
         if killed {
             // What it held dies with it: its decisions must not go on answering.
-            let fresh = front(self.scenario, self.policy, self.own.as_ref(), self.seed, gateway as u64);
+            let fresh = self.fronts.build(self.seed, gateway);
             self.gateways[gateway].front = fresh;
             self.connections.close_idle_of_gateway(gateway);
         }
@@ -321,7 +257,7 @@
     /// A gateway that starts: nothing of what it knew before.
     fn reborn(&mut self, gateway: usize) {
         let seed = self.seed ^ (self.now * 1e3) as u64;
-        let fresh = front(self.scenario, self.policy, self.own.as_ref(), seed, gateway as u64);
+        let fresh = self.fronts.build(seed, gateway);
         let of = &mut self.gateways[gateway];
         (of.front, of.away, of.told) = (fresh, false, BTreeMap::new());
         self.connections.close_idle_of_gateway(gateway);
@@ -365,7 +301,7 @@
     /// What of the members' budgets each gateway holds, for its lines.
     fn divide(&mut self) {
         let (now, ahead) = (moment(self.now), moment(self.now) + Span::from_secs(MESH_AHEAD_S));
-        let Some(terms) = &self.own else { return };
+        let Some(terms) = &self.fronts.queue_terms else { return };
         let even = 1.0 / self.gateways.len() as f64;
         self.parts.iter_mut().for_each(|parts| parts.run(self.now + MESH_AHEAD_S));
         for (at, gateway) in self.gateways.iter_mut().enumerate() {
--- /dev/null
+++ b/crates/lab/src/play/deployment.rs
@@ -0,0 +1,123 @@
+//! The emulated deployment: its limits, and the decisions of one gateway built from them and the scenario.
+
+use admission::interface::*;
+use admission::policy::Policy as AdmissionPolicy;
+use dispatch::Dispatch;
+
+use crate::front::{Front, Policy};
+use crate::rules;
+use crate::scenario::{self, Scenario};
+
+const MAX_ATTEMPTS: usize = 6;
+const LONGEST_RETRY_AFTER_S: f64 = 0.5;
+/// After an attempt with an unknown outcome, the next statement of its order key waits so long.
+const ORDERED_PAUSE_S: f64 = 0.5;
+const LIST_REQUEST_PERIOD_S: f64 = 10.0;
+/// A statement may still be sent to a draining engine for so long.
+const DRAIN_GRACE_S: f64 = 0.25;
+/// An answer may come so long after the deadline.
+const ANSWER_GRACE_S: f64 = 0.02;
+/// Part of a statement's value that is left when its tenant is over its allowance.
+const OVER_ALLOWANCE_VALUE: f64 = 0.05;
+/// The retry budget: so many retries, and this part of the statements accepted, within the window.
+const FREE_RETRIES: f64 = 20.0;
+const RETRIES_PER_STATEMENT: f64 = 0.25;
+const RETRY_WINDOW_S: f64 = 10.0;
+/// Keeps the random streams of one seed's gateways apart from those of the next.
+const SEED_STRIDE: u64 = 7919;
+
+/// What the rules hold the deployment to.
+pub(super) fn rules() -> rules::Terms {
+    rules::Terms {
+        drain_grace_s: DRAIN_GRACE_S,
+        answer_grace_s: ANSWER_GRACE_S,
+        ration: Some((FREE_RETRIES, RETRIES_PER_STATEMENT, RETRY_WINDOW_S)),
+    }
+}
+
+/// Builds the front of each gateway, at its start and at each restart.
+pub(super) struct FrontFactory<'a> {
+    pub(super) scenario: &'a Scenario,
+    pub(super) policy: Policy,
+    /// As one gateway is configured.
+    pub(super) queue_terms: Option<queues::Terms>,
+}
+
+impl FrontFactory<'_> {
+    pub(super) fn build(&self, seed: u64, gateway: usize) -> Front {
+        let seed = seed.wrapping_mul(SEED_STRIDE).wrapping_add(gateway as u64);
+        let dispatch = Dispatch::new(admission_policy(self.scenario, seed));
+        let classes = self.scenario.product.len();
+        Front::new(self.policy, dispatch, self.queue_terms.as_ref(), classes, seed)
+    }
+}
+
+fn admission_policy(scenario: &Scenario, seed: u64) -> AdmissionPolicy {
+    let classes = scenario.product.values().map(query_class).collect();
+    let engines = &scenario.engines;
+    let cold_start = ColdStart {
+        share: engines.cold_share,
+        warm_after: Span::from_secs(engines.cold_s),
+        multiple: engines.tip_multiple,
+        window: Span::from_secs(engines.tip_s),
+    };
+    let listing = Listing { on_request: false, ask_within: Span::from_secs(LIST_REQUEST_PERIOD_S) };
+    AdmissionPolicy::new(
+        seed,
+        classes,
+        tenancy(scenario),
+        engine_fleet(scenario),
+        Some(cold_start),
+        retries(),
+        listing,
+    )
+}
+
+fn query_class(class: &scenario::Product) -> Product {
+    Product {
+        effect: if class.unrepeatable { Effect::Unrepeatable } else { Effect::Idempotent },
+        gain: class.gain,
+        late_gain: class.late_gain,
+        quoted: Span::from_secs(class.quoted_ms / 1e3),
+        quoted_stretch: class.quoted_stretch,
+        hard_limit: Span::from_secs(class.hard_limit_ms / 1e3),
+        threads: class.threads,
+        in_turn: class.keys > 0,
+        locations: class.zone.map(|zone| vec![LocationId(zone)]),
+        machines: None,
+    }
+}
+
+fn engine_fleet(scenario: &Scenario) -> Fleet {
+    let engines = &scenario.engines;
+    Fleet {
+        peers: scenario.gateways as f64,
+        cores: vec![engines.cores],
+        memory_mb: vec![engines.memory_mb],
+        note_pace: Some(Span::from_secs(engines.note_ms / 1e3)),
+        ranks_heeded: false,
+        idle: engines.idle_s.filter(|_| !scenario.idle_untold).map(Span::from_secs),
+    }
+}
+
+fn retries() -> Relaying {
+    let budget =
+        Ration { free: FREE_RETRIES, share: RETRIES_PER_STATEMENT, window: Span::from_secs(RETRY_WINDOW_S) };
+    Relaying {
+        most: MAX_ATTEMPTS,
+        cancel: false,
+        come_back: Some(Span::from_secs(LONGEST_RETRY_AFTER_S)),
+        settle: Span::from_secs(ORDERED_PAUSE_S),
+        ration: Some(budget),
+    }
+}
+
+/// Allowances in proportion to each tenant's usual traffic, where the scenario has any.
+fn tenancy(scenario: &Scenario) -> Tenancy {
+    let Some(times) = scenario.allowance_times else { return Tenancy::default() };
+    let allowances = scenario.traffic.values().map(|queues| {
+        let usual_per_s: f64 = queues.values().flat_map(|traffic| traffic.per_s.values()).sum();
+        usual_per_s * times
+    });
+    Tenancy { allowances: allowances.collect(), over_gain: OVER_ALLOWANCE_VALUE }
+}
