--- /dev/null
+++ b/crates/lab/src/play/gateways.rs
@@ -0,0 +1,187 @@
+//! Emulated gateways: their start and end, and what they are told of engines.
+
+use std::collections::BTreeMap;
+
+use admission::interface::*;
+
+use super::events::Event;
+use super::statements::Statement;
+use super::wait_history::WaitHistory;
+use super::{Emulation, moment};
+use crate::front::Front;
+
+/// A gateway that is stopped in order has so long to finish what it holds.
+const SHUTDOWN_S: f64 = 2.0;
+/// A client whose gateway was killed asks again after this.
+const DEATH_NOTICED_S: f64 = 0.2;
+
+pub(super) struct Gateway {
+    pub(super) front: Front,
+    /// Changes of the engine list reach it this late.
+    pub(super) list_delay_s: f64,
+    /// Its clients go to the next gateway.
+    pub(super) away: bool,
+    pub(super) next_tick_s: f64,
+    /// Counts its ticks scheduled, so that only the latest one is followed.
+    pub(super) tick_generation: u64,
+    /// By queue and query class.
+    pub(super) wait_history: BTreeMap<(u32, usize), WaitHistory>,
+    /// Its own ejections of engines that other gateways were told of, and when each ends.
+    pub(super) published_ejections: BTreeMap<EngineId, Moment>,
+}
+
+impl Gateway {
+    pub(super) fn new(front: Front, list_delay_s: f64) -> Self {
+        Gateway {
+            front,
+            list_delay_s,
+            away: false,
+            next_tick_s: f64::INFINITY,
+            tick_generation: 0,
+            wait_history: BTreeMap::new(),
+            published_ejections: BTreeMap::new(),
+        }
+    }
+}
+
+impl Emulation<'_> {
+    /// Schedules a gateway's next tick, unless an earlier one is scheduled already.
+    pub(super) fn wake_gateway(&mut self, gateway: usize, at_s: f64) {
+        let woken = &mut self.gateways[gateway];
+        if woken.next_tick_s <= at_s {
+            return;
+        }
+        woken.next_tick_s = at_s;
+        woken.tick_generation += 1;
+        let generation = woken.tick_generation;
+        self.schedule(at_s, Event::GatewayTick { gateway, generation });
+    }
+
+    /// The gateway that serves clients of this one: itself, or the next that is not away.
+    pub(super) fn serving_gateway(&self, preferred: usize) -> usize {
+        let count = self.gateways.len();
+        let mut candidates = (0..count).map(|step| (preferred + step) % count);
+        candidates.find(|gateway| !self.gateways[*gateway].away).unwrap_or(preferred)
+    }
+
+    /// Ends a gateway in order: its clients go elsewhere, and it has a while to finish what it holds.
+    pub(super) fn stop_gateway(&mut self, gateway: usize) {
+        let end_s = self.now_s + SHUTDOWN_S;
+        self.gateways[gateway].away = true;
+        if let Some(hall) = self.gateways[gateway].front.hall() {
+            hall.answer_by(moment(end_s));
+        }
+        for statement in self.open_statements(gateway) {
+            if let Some(attempt) = self.statements[statement].in_flight {
+                self.schedule(end_s, Event::AttemptTimeout { statement, attempt: attempt.number });
+            }
+        }
+        if let Some(mesh) = &mut self.health_mesh {
+            mesh.leave(gateway);
+        }
+        if let Some(mesh) = &mut self.lease_mesh {
+            mesh.leave(gateway);
+        }
+    }
+
+    /// Kills a gateway with all it holds.
+    pub(super) fn kill_gateway(&mut self, gateway: usize) {
+        self.gateways[gateway].away = true;
+        for statement in self.open_statements(gateway) {
+            self.lose_statement(statement);
+        }
+        // Its decisions must not go on answering what it held.
+        self.gateways[gateway].front = self.fronts.build(self.seed, gateway);
+        self.connections.close_idle_of_gateway(gateway);
+        if let Some(mesh) = &mut self.health_mesh {
+            mesh.kill(gateway);
+        }
+        if let Some(mesh) = &mut self.lease_mesh {
+            mesh.kill(gateway);
+        }
+    }
+
+    /// Starts a gateway that knows nothing of what it knew before.
+    pub(super) fn restart_gateway(&mut self, gateway: usize) {
+        let seed = self.seed ^ (self.now_s * 1e3) as u64;
+        let restarted = &mut self.gateways[gateway];
+        restarted.front = self.fronts.build(seed, gateway);
+        restarted.away = false;
+        restarted.published_ejections.clear();
+        self.connections.close_idle_of_gateway(gateway);
+        self.send_full_list(gateway);
+        if let Some(mesh) = &mut self.health_mesh {
+            mesh.start(gateway);
+        }
+        if let Some(mesh) = &mut self.lease_mesh {
+            mesh.start(gateway);
+        }
+        self.usage[gateway].clear();
+    }
+
+    /// Statements of a gateway that wait for an answer or for the end of an attempt.
+    fn open_statements(&self, gateway: usize) -> Vec<usize> {
+        let is_open = |statement: &Statement| !statement.answered || statement.in_flight.is_some();
+        let all = self.statements.iter().enumerate();
+        let open = all.filter(|(_, statement)| statement.gateway == gateway && is_open(statement));
+        open.map(|(index, _)| index).collect()
+    }
+
+    /// A statement dies with its gateway; its client notices, and asks again if it has tries left.
+    fn lose_statement(&mut self, index: usize) {
+        let statement = &mut self.statements[index];
+        let in_flight = statement.in_flight.take();
+        let was_answered = std::mem::replace(&mut statement.answered, true);
+        let request = statement.request;
+        if let Some(attempt) = in_flight {
+            self.connections.close(attempt.engine);
+        }
+        self.rules.died(index as u64);
+        if was_answered {
+            return;
+        }
+        self.measurements.figures.died += 1;
+        let noticed_s = self.now_s + DEATH_NOTICED_S;
+        let client = &self.requests[request];
+        if client.tries_left > 0 && noticed_s < client.deadline_s {
+            self.schedule(noticed_s, Event::Request(request));
+        }
+    }
+
+    /// Tells a gateway that starts of all engines that are ready.
+    pub(super) fn send_full_list(&mut self, gateway: usize) {
+        let listed = self.listed.iter().enumerate();
+        let ready = listed.filter(|(_, entry)| entry.stage == Stage::Ready);
+        let facts = ready.map(|(engine, entry)| self.engine_fact(engine, entry.stage, entry.started_s));
+        let list = ListNews::Whole(facts.collect());
+        self.gateways[gateway].front.told_list(moment(self.now_s), &list);
+        self.wake_gateway(gateway, self.now_s);
+    }
+
+    /// Tells a gateway of one engine's change.
+    pub(super) fn send_list_change(
+        &mut self,
+        gateway: usize,
+        engine: usize,
+        stage: Stage,
+        started_s: Option<f64>,
+    ) {
+        let change = ListNews::Changes(vec![self.engine_fact(engine, stage, started_s)]);
+        self.measurements.figures.lists_told += 1;
+        self.gateways[gateway].front.told_list(moment(self.now_s), &change);
+        self.rules.told(self.now_s, gateway, engine, stage == Stage::Ready);
+        self.wake_gateway(gateway, self.now_s);
+    }
+
+    fn engine_fact(&self, engine: usize, stage: Stage, started_s: Option<f64>) -> EngineFact {
+        EngineFact {
+            id: EngineId(engine as u32),
+            scale: 1.0,
+            location: LocationId(self.zone(engine)),
+            machine: MachineId(0),
+            cell: CellId(0),
+            stage,
+            started: started_s.map(moment),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/play/statements.rs
@@ -0,0 +1,168 @@
+//! Statements at gateways: from a client's request to an answer, a rejection or a failure.
+
+use admission::interface::*;
+use dispatch::{Pick, Wants};
+use queues::{DeskId, Wait};
+use rand::RngExt;
+
+use super::events::Event;
+use super::requests::Request;
+use super::{Emulation, moment};
+use crate::figures::Told;
+use crate::rules::Seen;
+
+/// A rejection within so long counts as one at once.
+const REJECTED_AT_ONCE_S: f64 = 0.05;
+/// A client that is told no time asks again after this.
+const DEFAULT_RETRY_AFTER_S: f64 = 0.1;
+/// A client does not ask again with less than this left.
+const LEAST_TIME_LEFT_S: f64 = 0.05;
+
+/// A request as one gateway accepted it.
+pub(super) struct Statement {
+    pub(super) request: usize,
+    pub(super) gateway: usize,
+    pub(super) accepted_s: f64,
+    pub(super) in_flight: Option<Attempt>,
+    pub(super) answered: bool,
+}
+
+/// An attempt that was sent to an engine and has no outcome yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Attempt {
+    pub(super) engine: usize,
+    pub(super) number: RelayNo,
+    pub(super) sent_s: f64,
+}
+
+impl Emulation<'_> {
+    /// A client sends a request to its gateway, for the first time or once more.
+    pub(super) fn submit(&mut self, index: usize) {
+        let request = self.requests[index].clone();
+        if request.tries_left == self.scenario.client_tries {
+            self.measurements.record_demand(self.now_s, request.tenant, request.cpu_s);
+        }
+        self.requests[index].tries_left -= 1;
+        let gateway = self.serving_gateway(request.gateway);
+        let id = self.accept(index, gateway);
+        let wants = self.wants(&request);
+        let pick = self.gateways[gateway].front.pick(moment(self.now_s), id, request.queue, &wants);
+        if pick == Pick::Held {
+            self.record_plain_estimates(gateway, id, request.queue, request.class);
+        }
+        self.apply_pick(id, pick);
+        self.wake_gateway(gateway, self.now_s);
+    }
+
+    /// Enters a request as a new statement of this gateway.
+    fn accept(&mut self, index: usize, gateway: usize) -> StatementId {
+        let request = &self.requests[index];
+        let class = self.classes[request.class].settings;
+        let id = StatementId(self.statements.len() as u64);
+        let seen = Seen::new(gateway, request.deadline_s, class.unrepeatable, request.order_key, class.zone);
+        self.statements.push(Statement {
+            request: index,
+            gateway,
+            accepted_s: self.now_s,
+            in_flight: None,
+            answered: false,
+        });
+        self.measurements.figures.statements += 1;
+        self.rules.took(self.now_s, id.0, seen);
+        id
+    }
+
+    fn wants(&self, request: &Request) -> Wants {
+        Wants {
+            product: ProductId(request.class),
+            tenant: TenantId(request.tenant),
+            group: GroupId(request.table_group),
+            estimate: Some(Span::from_secs(request.estimate_s)),
+            memory_mb: self.classes[request.class].settings.memory_mb,
+            key: request.order_key.map(OrderKey),
+            marked: true,
+            budget: Span::from_secs(request.deadline_s - self.now_s),
+        }
+    }
+
+    /// Notes what the plain estimators say of a statement that came to wait.
+    fn record_plain_estimates(&mut self, gateway: usize, id: StatementId, queue: DeskId, class: usize) {
+        let gateway = &mut self.gateways[gateway];
+        let Some(hall) = gateway.front.hall() else { return };
+        let Some(status) = hall.statement(moment(self.now_s), id) else { return };
+        let history = gateway.wait_history.get(&(queue.0, class)).copied().unwrap_or_default();
+        self.plain_estimates.insert(id, history.estimates(status.ahead));
+    }
+
+    /// A gateway looks at its waiting statements and releases those that are due.
+    pub(super) fn tick_gateway(&mut self, gateway: usize) {
+        let now = moment(self.now_s);
+        let ticked = &mut self.gateways[gateway];
+        ticked.next_tick_s = f64::INFINITY;
+        let tick = ticked.front.tick(now);
+        let waits = ticked.front.waits().to_vec();
+        for wait in &waits {
+            self.record_wait(gateway, wait);
+        }
+        if let Some(hall) = self.gateways[gateway].front.hall() {
+            self.measurements.record_passed(hall.longest_passed().secs());
+        }
+        for (id, pick) in tick.due {
+            self.apply_pick(id, pick);
+        }
+        self.wake_gateway(gateway, self.now_s + tick.wait.secs());
+    }
+
+    /// Notes a wait that ended beside what was estimated of it.
+    fn record_wait(&mut self, gateway: usize, wait: &Wait) {
+        let (queue, class) = (wait.desk.0, wait.product.0);
+        let real_s = wait.real.secs();
+        self.measurements.estimates.push(Told {
+            at: self.now_s,
+            gateway,
+            desk: queue,
+            product: class,
+            told: wait.told.wait.secs(),
+            p90: wait.told.p90.secs(),
+            real: real_s,
+            plain: self.plain_estimates.remove(&wait.id).unwrap_or_default(),
+        });
+        let history = self.gateways[gateway].wait_history.entry((queue, class)).or_default();
+        history.record(self.now_s, real_s);
+    }
+
+    fn apply_pick(&mut self, id: StatementId, pick: Pick) {
+        match pick {
+            Pick::Held => {}
+            Pick::Relay(order) => self.send_attempt(id, order),
+            Pick::Deny { come_back } => self.reject(id, come_back),
+            Pick::Scrap => self.fail(id),
+        }
+    }
+
+    /// Rejects a statement; its client asks again if it has tries and time left.
+    pub(super) fn reject(&mut self, id: StatementId, retry_after: Option<Span>) {
+        self.plain_estimates.remove(&id);
+        self.rules.answered(self.now_s, id.0, true);
+        let statement = &mut self.statements[id.0 as usize];
+        statement.answered = true;
+        let at_once = self.now_s - statement.accepted_s <= REJECTED_AT_ONCE_S;
+        self.measurements.figures.denied += 1;
+        self.measurements.figures.denied_at_once += u64::from(at_once);
+        let jitter = self.rng.random_range(1.0..1.2);
+        let retry_s = self.now_s + retry_after.map_or(DEFAULT_RETRY_AFTER_S, Span::secs) * jitter;
+        let index = statement.request;
+        let request = &self.requests[index];
+        if request.tries_left > 0 && retry_s < request.deadline_s - LEAST_TIME_LEFT_S {
+            self.schedule(retry_s, Event::Request(index));
+        }
+    }
+
+    /// Answers a statement with an error.
+    pub(super) fn fail(&mut self, id: StatementId) {
+        self.plain_estimates.remove(&id);
+        self.rules.answered(self.now_s, id.0, false);
+        self.measurements.figures.scrapped += 1;
+        self.statements[id.0 as usize].answered = true;
+    }
+}
