lab control: membership, coordinator and its change by size, bounded in time and memory

Need: what control costs at 1,900 gateways was not known; `lab fleet` took 100 s of a core at 100 and did not end in five minutes at 300.

The emulated network's factory of gateways is shared.

--- /dev/null
+++ b/crates/lab/src/control/coordinator.rs
@@ -0,0 +1,165 @@
+//! A change of the coordinator of divided budgets, by the number of holders. Its computing takes no simulated time here,
+//! so that the times are those of the protocol alone; what it computes is measured by `crates/shares/benches`.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::control::limits::{Ended, Limits, Watch};
+use crate::control::measured::Measured;
+use crate::mesh::Mesh;
+use crate::parts::{Part, terms};
+
+const STEP_S: f64 = 0.02;
+/// From the start to the killing: a first coordinator grants in full one lease after it was chosen.
+const SETTLE_S: f64 = 20.0;
+/// A change that is not over then is told so.
+const CHANGE_WITHIN_S: f64 = 30.0;
+
+/// One killing of the coordinator.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Change {
+    pub holders: usize,
+    pub ended: Ended,
+    /// From the killing to when another is chosen.
+    pub chosen_s: Option<f64>,
+    /// To when every holder has a lease of the new coordinator.
+    pub renewed_s: Option<f64>,
+    /// To when the new coordinator grants in full, one lease after it was chosen.
+    pub full_s: Option<f64>,
+    /// Most holders at once that had no lease, and so their guaranteed minimum alone.
+    pub most_without_lease: usize,
+    /// At rest before the killing, a second: what one holder sent, without the fleet's frame.
+    pub holder_datagrams_per_s: f64,
+    pub holder_bytes_per_s: f64,
+    pub coordinator_datagrams_per_s: f64,
+    pub coordinator_bytes_per_s: f64,
+}
+
+/// CPU time a simulated second at rest, measured on the machine.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct ChangeSpent {
+    pub coordinator_cpu: Duration,
+    pub holder_cpu: Duration,
+    pub real_time: Duration,
+}
+
+type Parts = Mesh<Measured<Part>>;
+
+/// One budget, needs at rest, five voters; the coordinator is killed once all hold a lease of it.
+pub fn change(holders: usize, seed: u64, limits: Limits) -> (Change, ChangeSpent) {
+    let watch = limits.start();
+    let mut mesh = started(holders, seed);
+    let mut change = Change {
+        holders,
+        ended: Ended::Completed,
+        chosen_s: None,
+        renewed_s: None,
+        full_s: None,
+        most_without_lease: 0,
+        holder_datagrams_per_s: 0.0,
+        holder_bytes_per_s: 0.0,
+        coordinator_datagrams_per_s: 0.0,
+        coordinator_bytes_per_s: 0.0,
+    };
+    let mut spent = ChangeSpent {
+        coordinator_cpu: Duration::ZERO,
+        holder_cpu: Duration::ZERO,
+        real_time: Duration::ZERO,
+    };
+    change.ended = run(&mut mesh, SETTLE_S / 2.0, &watch);
+    if change.ended == Ended::Completed
+        && let Some(first) = coordinator(&mesh)
+    {
+        rest(&mut mesh, first, &mut change, &mut spent, &watch);
+        if change.ended == Ended::Completed {
+            mesh.kill(first);
+            change.ended = replaced(&mut mesh, &mut change, &watch);
+        }
+    }
+    spent.real_time = watch.elapsed();
+    (change, spent)
+}
+
+fn started(holders: usize, seed: u64) -> Parts {
+    let terms = terms(holders);
+    let make = move |at: usize, now, life| {
+        let seed = seed.wrapping_mul(1_000_003).wrapping_add(at as u64 * 64 + u64::from(life));
+        Measured::new(Part::new(now, at, life, terms.clone(), 0, seed))
+    };
+    let mut mesh = Mesh::new(holders, seed, make);
+    mesh.start_all();
+    mesh
+}
+
+fn run(mesh: &mut Parts, lasts_s: f64, watch: &Watch) -> Ended {
+    let until = mesh.now + lasts_s;
+    while mesh.now < until {
+        if let Some(exceeded) = watch.exceeded() {
+            return exceeded;
+        }
+        mesh.run((mesh.now + STEP_S).min(until));
+    }
+    Ended::Completed
+}
+
+fn rest(mesh: &mut Parts, first: usize, change: &mut Change, spent: &mut ChangeSpent, watch: &Watch) {
+    let holder = change.holders - 1;
+    let cpu = |mesh: &Parts, at: usize| mesh.peer(at).map_or(Duration::ZERO, |peer| peer.cost().cpu);
+    let (began, sent) = (mesh.now, mesh.sent.clone());
+    let before = [first, holder].map(|at| cpu(mesh, at));
+    change.ended = run(mesh, SETTLE_S / 2.0, watch);
+    let lasted = (mesh.now - began).max(f64::MIN_POSITIVE);
+    let per_s = |at: usize| {
+        let (datagrams, bytes) = (mesh.sent[at].0 - sent[at].0, mesh.sent[at].1 - sent[at].1);
+        (datagrams as f64 / lasted, bytes as f64 / lasted)
+    };
+    (change.holder_datagrams_per_s, change.holder_bytes_per_s) = per_s(holder);
+    (change.coordinator_datagrams_per_s, change.coordinator_bytes_per_s) = per_s(first);
+    spent.coordinator_cpu = (cpu(mesh, first) - before[0]).div_f64(lasted);
+    spent.holder_cpu = (cpu(mesh, holder) - before[1]).div_f64(lasted);
+}
+
+fn replaced(mesh: &mut Parts, change: &mut Change, watch: &Watch) -> Ended {
+    let killed = mesh.now;
+    while mesh.now < killed + CHANGE_WITHIN_S {
+        if let Some(exceeded) = watch.exceeded() {
+            return exceeded;
+        }
+        mesh.run(mesh.now + STEP_S);
+        let since = mesh.now - killed;
+        let without = mesh.lives().iter().filter(|at| lease_number(mesh, **at).is_none()).count();
+        change.most_without_lease = change.most_without_lease.max(without);
+        let Some(number) = coordinator(mesh).and_then(|at| coordinator_number(mesh, at)) else { continue };
+        change.chosen_s.get_or_insert(since);
+        let renewed = mesh.lives().iter().all(|at| lease_number(mesh, *at) == Some(number));
+        if renewed {
+            change.renewed_s.get_or_insert(since);
+        }
+        let lease_s = terms(change.holders).lease.secs();
+        change.full_s = change.chosen_s.map(|chosen_s| chosen_s + lease_s);
+        if change.renewed_s.is_some() && since >= change.full_s.unwrap_or(f64::INFINITY) {
+            return Ended::Completed;
+        }
+    }
+    Ended::SimulatedLimit
+}
+
+fn coordinator(mesh: &Parts) -> Option<usize> {
+    let now = admission::interface::Moment::from_secs(mesh.now);
+    mesh.lives().into_iter().take(shares::terms::MOST_VOTERS).find(|at| {
+        mesh.peer(*at).is_some_and(|peer| peer.peer.shares.core().is_steward(peer.peer.clock(now)))
+    })
+}
+
+fn coordinator_number(mesh: &Parts, at: usize) -> Option<u64> {
+    let now = admission::interface::Moment::from_secs(mesh.now);
+    let part = &mesh.peer(at)?.peer;
+    part.shares.core().office(part.clock(now)).map(|office| office.number)
+}
+
+fn lease_number(mesh: &Parts, at: usize) -> Option<u64> {
+    let now = admission::interface::Moment::from_secs(mesh.now);
+    let part = &mesh.peer(at)?.peer;
+    part.shares.core().holder().lease(part.clock(now)).map(|lease| lease.number)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use lab::control;
 use lab::front::Policy;
 use lab::play::{Outcome, Play};
 use lab::scenario::{Budgets, Scenario};
@@ -62,6 +63,8 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// What control traffic costs by size: membership, the coordinator of budgets and its change.
+    Control(control::command::Arguments),
     /// Plays it with queues, members' budgets divided by each one's guess, evenly and by leases, over some seeds.
     Divide {
         file: PathBuf,
@@ -224,6 +227,10 @@
             }
             Ok(true)
         }
+        Command::Control(arguments) => {
+            control::command::run(&arguments)?;
+            Ok(true)
+        }
         Command::Divide { file, seeds } => {
             let mut scenario = Scenario::read(&file)?;
             let mut all = true;
--- a/crates/lab/src/mesh.rs
+++ b/crates/lab/src/mesh.rs
@@ -317,7 +317,8 @@
     pub false_one: bool,
 }
 
-type Hearers = Box<dyn FnMut(usize, usize, &mut Vec<u8>)>;
+/// Sees a datagram on its way, and may change it: sender, receiver, bytes.
+pub type Hearer = Box<dyn FnMut(usize, usize, &mut Vec<u8>)>;
 
 pub struct Mesh<P> {
     pub now: f64,
@@ -334,7 +335,7 @@
     pub deaths: Vec<Death>,
     pub sent: Vec<(u64, u64)>,
     /// Sees every datagram before it goes: for a liar.
-    pub liar: Option<Hearers>,
+    pub liar: Option<Hearer>,
 }
 
 impl<P: Peer> Mesh<P> {
@@ -570,27 +571,38 @@
     }
 }
 
-/// Gateways of the real code, the first three their seeds.
-pub fn gateways(count: usize, seed: u64, terms: Terms) -> Mesh<Gateway> {
-    let ring = Ring::new(&KEY, &[]).expect("one key");
-    let fleet = Name::new("lab").expect("a name");
-    Mesh::new(count, seed, move |at, now, life| {
-        let seeds = (0..3.min(count)).map(address).collect();
-        let seed = seed.wrapping_mul(1_000_003).wrapping_add(at as u64 * 64 + u64::from(life));
+/// Makes the gateways of one emulated fleet, the first three the seeds of all.
+#[derive(Clone, Debug)]
+pub struct GatewayFactory {
+    count: usize,
+    seed: u64,
+    terms: Terms,
+    ring: Ring,
+    fleet: Name,
+}
+
+impl GatewayFactory {
+    pub fn new(count: usize, seed: u64, terms: Terms) -> Self {
+        let ring = Ring::new(&KEY, &[]).expect("one key");
+        let fleet = Name::new("lab").expect("a name");
+        GatewayFactory { count, seed, terms, ring, fleet }
+    }
+
+    /// `life`: how often this gateway was started before.
+    pub fn make(&self, at: usize, now: Moment, life: u32) -> Gateway {
+        let seeds = (0..3.min(self.count)).map(address).collect();
+        let seed = self.seed.wrapping_mul(1_000_003).wrapping_add(at as u64 * 64 + u64::from(life));
         let zone = Some(Name::new(&format!("zone-{}", at % 3)).expect("a name"));
         let place = Place { zone, region: None };
-        Gateway::new(
-            now,
-            fleet.clone(),
-            name(at),
-            address(at),
-            place,
-            seeds,
-            ring.clone(),
-            terms.clone(),
-            seed,
-        )
-    })
+        let (fleet, ring, terms) = (self.fleet.clone(), self.ring.clone(), self.terms.clone());
+        Gateway::new(now, fleet, name(at), address(at), place, seeds, ring, terms, seed)
+    }
+}
+
+/// Gateways of the real code.
+pub fn gateways(count: usize, seed: u64, terms: Terms) -> Mesh<Gateway> {
+    let factory = GatewayFactory::new(count, seed, terms);
+    Mesh::new(count, seed, move |at, now, life| factory.make(at, now, life))
 }
 
 pub fn heartbeats(count: usize, seed: u64, terms: Terms) -> Mesh<Heartbeats> {
