fleet: gateway.rs split by job; letters and engines no longer import each other

Now gateway/{mod,send,receive,gossip,identity,turn,probing,suspicion,exchange,view,engine_news,event}.rs and metrics.rs; send, take and weigh are cut into shorter functions; ages are made in engines.rs. Names of the field: message (letter), witness (voice), update (rumour), gossip (hearsay), direct, re-join and indirect probe (look, call, help), metrics (tally); fleet::letter, letter::Letter, gateway::Tally and the field tally stay as they were read.

--- a/crates/fleet/src/engines.rs
+++ b/crates/fleet/src/engines.rs
@@ -7,15 +7,14 @@
 use admission::interface::{Moment, Span};
 use serde::{Deserialize, Serialize};
 
-use crate::letter::millis;
 use crate::terms::Terms;
 use crate::who::Name;
 
-/// Engines that are held at most, and voices of each: a liar's list of engines is cut, the oldest word first.
+/// Engines that are held at most, and witnesses of each: a liar's list of engines is cut, the oldest word first.
 const ENGINES: usize = 1024;
-const VOICES: usize = 16;
-/// Of news that goes with one letter.
-pub const A_LETTER: usize = 16;
+const WITNESSES: usize = 16;
+/// Of news that goes with one message.
+pub const PER_MESSAGE: usize = 16;
 const LONGEST_NAME: usize = 64;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -78,16 +77,16 @@
         }
         let at = now + Span::from_secs(-f64::from(news.age_ms) / 1e3);
         if !self.said.contains_key(&news.engine) && self.said.len() >= ENGINES {
-            let oldest = |voices: &BTreeMap<Name, Said>| voices.values().map(|said| said.at).max();
-            let first = self.said.iter().min_by_key(|(_, voices)| oldest(voices));
+            let oldest = |witnesses: &BTreeMap<Name, Said>| witnesses.values().map(|said| said.at).max();
+            let first = self.said.iter().min_by_key(|(_, witnesses)| oldest(witnesses));
             first.map(|(name, _)| name.clone()).map(|name| self.said.remove(&name));
         }
-        let voices = self.said.entry(news.engine.clone()).or_default();
-        if voices.len() >= VOICES && !voices.contains_key(by) {
-            let oldest = voices.iter().min_by_key(|(_, said)| said.at).map(|(name, _)| name.clone());
-            oldest.map(|name| voices.remove(&name));
+        let witnesses = self.said.entry(news.engine.clone()).or_default();
+        if witnesses.len() >= WITNESSES && !witnesses.contains_key(by) {
+            let oldest = witnesses.iter().min_by_key(|(_, said)| said.at).map(|(name, _)| name.clone());
+            oldest.map(|name| witnesses.remove(&name));
         }
-        let said = voices.entry(by.clone()).or_insert(Said { word: news.word, at, host });
+        let said = witnesses.entry(by.clone()).or_insert(Said { word: news.word, at, host });
         if at >= said.at {
             *said = Said { word: news.word, at, host };
         }
@@ -97,8 +96,8 @@
     pub fn fade(&mut self, now: Moment, terms: &Terms) {
         let fresh = |at: Moment| now - at < terms.news_lasts;
         self.own.retain(|_, (_, at)| fresh(*at));
-        self.said.values_mut().for_each(|voices| voices.retain(|_, said| fresh(said.at)));
-        self.said.retain(|_, voices| !voices.is_empty());
+        self.said.values_mut().for_each(|witnesses| witnesses.retain(|_, said| fresh(said.at)));
+        self.said.retain(|_, witnesses| !witnesses.is_empty());
     }
 
     /// Engines that as many independent gateways as needed lost statements to: one a host, since whoever holds one host
@@ -111,11 +110,11 @@
         let own = self.own.get(engine);
         let worked = own.filter(|own| own.0 == EngineWord::Back).map(|own| own.1);
         let newer = |said: &&Said| worked.is_none_or(|worked| said.at > worked);
-        let voices = self.said.get(engine)?.values().filter(newer);
+        let witnesses = self.said.get(engine)?.values().filter(newer);
         let mut hosts: BTreeMap<IpAddr, Moment> = BTreeMap::new();
         let mut back: BTreeSet<IpAddr> = BTreeSet::new();
         let mut back_at = None;
-        for said in voices {
+        for said in witnesses {
             match said.word {
                 EngineWord::Bad => {
                     let at = hosts.entry(said.host).or_insert(said.at);
@@ -132,7 +131,7 @@
         }
         let mut times: Vec<Moment> = hosts.into_values().collect();
         times.sort();
-        // With so many newer ones beside it, at least one of the voices at or after this time does not lie.
+        // With so many newer ones beside it, at least one of the witnesses at or after this time does not lie.
         let seen = *times.len().checked_sub(terms.voices()).and_then(|at| times.get(at))?;
         Some(Doubt { engine: engine.to_owned(), seen, until: seen + terms.news_lasts })
     }
@@ -145,7 +144,12 @@
         let doubted = doubted.map(|doubt| (doubt.engine, EngineWord::Bad, doubt.seen));
         let mut all: Vec<_> = own.chain(doubted).collect();
         all.sort_by(|a, b| b.2.cmp(&a.2).then_with(|| a.0.cmp(&b.0)));
-        all.truncate(A_LETTER);
+        all.truncate(PER_MESSAGE);
         all.into_iter().map(|(engine, word, at)| EngineNews { engine, word, age_ms: age(at) }).collect()
     }
 }
+
+/// Whole milliseconds, as ages go over the wire.
+fn millis(span: Span) -> u32 {
+    (span.secs() * 1e3).clamp(0.0, f64::from(u32::MAX)) as u32
+}
--- /dev/null
+++ b/crates/fleet/src/gateway/gossip.rs
@@ -0,0 +1,187 @@
+//! What is held of other gateways: on their own word, and on that of enough independent witnesses.
+
+use admission::interface::Moment;
+
+use super::Event;
+use super::Gateway;
+use super::identity::LEAP;
+use crate::who::{Incarnation, Name, Record, State};
+
+impl Gateway {
+    /// It answered this gateway itself: that outweighs what anybody says.
+    pub(super) fn answered_itself(&mut self, now: Moment, from: &Record) {
+        self.met = true;
+        let name = &from.name;
+        let Some(held) = self.table.get_mut(name) else {
+            if self.table.add(now, from.clone(), true) {
+                let held = self.table.get_mut(name).expect("just added");
+                held.answered = Some(now);
+                self.changed(now, name);
+                // It may know more than the seed it came by.
+                self.next_pull = now;
+            }
+            return;
+        };
+        let other = held.record.life != from.life;
+        let older = from.incarnation <= held.record.incarnation || held.record.address != from.address;
+        if other && older && held.counts() {
+            // An earlier life is still held: it hears of that with this answer, and rises. At another address it waits
+            // until nobody answers at the first, or any process could take a name that is in use.
+            return;
+        }
+        held.answered = Some(now);
+        held.failed_looks = 0;
+        let (known, before) = (std::mem::replace(&mut held.known, true), held.record.clone());
+        let incarnation = if other { from.incarnation } else { from.incarnation.max(before.incarnation) };
+        held.record = Record { incarnation, ..from.clone() };
+        held.suspicion = None;
+        if from.state == State::Alive {
+            held.witnesses.retain(|_, witness| witness.says.incarnation > incarnation);
+        }
+        let changed = !known || before != held.record;
+        let revived = known && before.state == State::Dead && !other && from.state == State::Alive;
+        self.tally.revived += u64::from(revived);
+        if changed {
+            self.changed(now, name);
+        }
+    }
+
+    /// Its own word of itself, from its own address: believed of one that is known at that address, else looked into.
+    pub(super) fn direct_word(&mut self, now: Moment, from: &Record) {
+        let Some(held) = self.table.get_mut(&from.name) else {
+            if from.state.counts() && self.table.add(now, from.clone(), false) {
+                self.direct_probes.insert(from.name.clone(), from.address);
+            }
+            return;
+        };
+        let same = held.known && held.record.life == from.life && held.record.address == from.address;
+        if !same {
+            if from.state.counts() {
+                self.direct_probes.insert(from.name.clone(), from.address);
+            }
+            return;
+        }
+        if from.incarnation <= held.record.incarnation && held.record.state == State::Alive {
+            return;
+        }
+        match from.state {
+            State::Left => {
+                if held.record.state != State::Left {
+                    held.record = from.clone();
+                    held.suspicion = None;
+                    self.changed(now, &from.name);
+                }
+            }
+            _ if from.incarnation > held.record.incarnation => {
+                let dead = held.record.state == State::Dead;
+                held.record = from.clone();
+                held.suspicion = None;
+                self.tally.revived += u64::from(dead);
+                self.changed(now, &from.name);
+            }
+            // Held for worse at this incarnation: it will hear of it, and rise.
+            _ => {
+                self.direct_probes.insert(from.name.clone(), from.address);
+            }
+        }
+    }
+
+    pub(super) fn gossip(&mut self, now: Moment, by: &Record, word: Record) {
+        if word.name == self.own.name {
+            self.of_me(now, &word);
+            return;
+        }
+        if word.name == by.name {
+            return;
+        }
+        let ahead = self
+            .table
+            .get(&word.name)
+            .map_or(word.incarnation.0, |held| word.incarnation.0.saturating_sub(held.record.incarnation.0));
+        if word.incarnation > Incarnation::LAST || ahead > LEAP {
+            self.tally.beyond += 1;
+            return;
+        }
+        let new = self.table.get(&word.name).is_none();
+        if new && !(word.state.counts() && self.table.add(now, word.clone(), false)) {
+            return;
+        }
+        let name = word.name.clone();
+        self.table.witness(now, &by.name, by.address.ip(), word);
+        self.weigh(now, &name);
+    }
+
+    /// What enough independent witnesses say of one is held; what fewer say is looked into.
+    pub(super) fn weigh(&mut self, now: Moment, name: &Name) {
+        let need = self.terms.voices();
+        let Some(held) = self.table.get(name) else { return };
+        // Nearly all that is heard of one is what is held of it; weighing witnesses costs many times this look.
+        let other = |says: &Record| {
+            says.state > State::Alive && says.life == held.record.life
+                || says.incarnation > held.record.incarnation
+        };
+        if held.known && !held.witnesses.values().any(|witness| other(&witness.says)) {
+            return;
+        }
+        let (record, counts) = (held.record.clone(), held.counts());
+        if !held.known {
+            self.weigh_candidate(now, name);
+            return;
+        }
+        let newer = |says: &Record| says.state == State::Alive && says.incarnation > record.incarnation;
+        if let Some(vouched) = held.vouched(now, need, newer) {
+            let held = self.table.get_mut(name).expect("just seen");
+            let dead = held.record.state == State::Dead && held.record.life == vouched.life;
+            held.record = vouched;
+            held.suspicion = None;
+            self.tally.revived += u64::from(dead);
+            self.changed(now, name);
+            return;
+        }
+        let any_newer = held.hosts(now, newer).len();
+        let same = |says: &Record| says.life == record.life && says.incarnation >= record.incarnation;
+        let left = held.hosts(now, |says| same(says) && says.state == State::Left).len();
+        let bad = held.hosts(now, |says| same(says) && says.state > State::Alive).len();
+        let witness = held.witnesses.values().rev().map(|witness| &witness.says).find(|says| newer(says));
+        let at = witness.map_or(record.address, |says| says.address);
+        if counts && left >= need {
+            let held = self.table.get_mut(name).expect("just seen");
+            held.record.state = State::Left;
+            held.suspicion = None;
+            self.changed(now, name);
+        } else if counts && bad >= need && record.state == State::Alive {
+            self.suspect(now, name);
+        } else if any_newer > 0 || counts && bad > 0 && record.state == State::Alive {
+            let first = self.direct_probes.insert(name.clone(), at).is_none();
+            self.tally.unvouched += u64::from(first);
+        }
+    }
+
+    /// One that is not in the fleet yet: enough witnesses bring it in.
+    fn weigh_candidate(&mut self, now: Moment, name: &Name) {
+        let Some(held) = self.table.get(name) else { return };
+        let address = held.record.address;
+        match held.vouched(now, self.terms.voices(), |says| says.state.counts()) {
+            Some(vouched) => {
+                let held = self.table.get_mut(name).expect("just seen");
+                (held.record, held.known) = (Record { state: State::Alive, ..vouched }, true);
+                self.met = true;
+                self.direct_probes.remove(name);
+                self.changed(now, name);
+            }
+            None => {
+                if self.direct_probes.insert(name.clone(), address).is_none() {
+                    self.tally.unvouched += 1;
+                }
+            }
+        }
+    }
+
+    pub(super) fn changed(&mut self, now: Moment, name: &Name) {
+        let Some(held) = self.table.get_mut(name) else { return };
+        held.since = now;
+        let (state, incarnation) = (held.record.state, held.record.incarnation);
+        self.disseminate(name);
+        self.event(Event::Changed { name: name.clone(), state, incarnation });
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/gateway/send.rs
@@ -0,0 +1,128 @@
+//! Messages out: each carries the sender, its view, and as much gossip as fits.
+
+use std::net::SocketAddr;
+
+use admission::interface::Moment;
+
+use super::Datagram;
+use super::Gateway;
+use crate::message::{self, Body, Message};
+use crate::probes::Purpose;
+use crate::who::{Life, Name, Record, State};
+
+/// Payloads of other subsystems that wait to be taken.
+pub(super) const CARRIED: usize = 256;
+/// The longest payload: beside it a message has room for its sender and a refutation.
+pub const LONGEST_CARRIED: usize = 850;
+/// An update is told this many times the logarithm of the fleet's size.
+const RETELL: f64 = 3.0;
+/// No record takes fewer bytes in a message.
+const LEAST_RECORD: usize = 16;
+
+impl Gateway {
+    /// Carries words to another gateway of the fleet. False: it is not held to be there, or they are too long.
+    pub fn carry(&mut self, now: Moment, to: &Name, words: Vec<u8>) -> bool {
+        let there = self.table.get(to).filter(|held| held.counts()).map(|held| held.record.address);
+        let Some(address) = there.filter(|_| words.len() <= LONGEST_CARRIED && self.out_until.is_none())
+        else {
+            return false;
+        };
+        self.send(now, address, Some(to), Body::Carried(words), Vec::new());
+        true
+    }
+
+    /// Words that came for another subsystem, each from a gateway that is known in this life at its own address.
+    pub fn take_carried(&mut self) -> Vec<(Name, Life, Vec<u8>)> {
+        std::mem::take(&mut self.carried)
+    }
+
+    pub(super) fn send(
+        &mut self,
+        now: Moment,
+        to: SocketAddr,
+        name: Option<&Name>,
+        body: Body,
+        first: Vec<Record>,
+    ) {
+        self.counter += 1;
+        let view = self.view();
+        let mut message = Message {
+            fleet: self.fleet.clone(),
+            from: self.own.clone(),
+            counter: self.counter,
+            view,
+            body,
+            records: first,
+            engines: Vec::new(),
+        };
+        // What is held of the one it goes to comes first: only that one can refute it.
+        let held = name.and_then(|name| self.table.get(name)).filter(|held| held.known);
+        message
+            .records
+            .extend(held.filter(|held| held.record.state != State::Alive).map(|held| held.record.clone()));
+        let mut room = message::room(&message);
+        if !self.sweep.is_empty() || !matches!(message.body, Body::Page { .. }) {
+            room = self.add_engine_news(now, &mut message, room);
+        }
+        self.add_updates(&mut message, room);
+        let bytes = message::seal(&self.ring, &message);
+        self.tally.sent += 1;
+        self.tally.sent_bytes += bytes.len() as u64;
+        self.out.push(Datagram { to, bytes });
+    }
+
+    /// News of engines, up to a third of the room each; returns what is left.
+    fn add_engine_news(&self, now: Moment, message: &mut Message, mut room: usize) -> usize {
+        for news in self.engines.to_tell(now, &self.terms) {
+            let size = message::size(&news);
+            if size * 3 > room {
+                break;
+            }
+            room -= size;
+            message.engines.push(news);
+        }
+        room
+    }
+
+    /// Updates of gossip, as many as fit.
+    fn add_updates(&mut self, message: &mut Message, mut room: usize) {
+        // The least told first, by name among equals: the map has them in that order, and the sort keeps it. A message holds a
+        // few; of hundreds only these are looked at.
+        let mut told: Vec<(u32, &Name)> = self.updates.iter().map(|(name, left)| (*left, name)).collect();
+        told.sort_by_key(|(left, _)| std::cmp::Reverse(*left));
+        let fit = room / LEAST_RECORD + 1;
+        let told: Vec<Name> = told.into_iter().take(fit).map(|(_, name)| name.clone()).collect();
+        for name in told {
+            let Some(held) = self.table.get(&name).filter(|held| held.known) else {
+                self.updates.remove(&name);
+                continue;
+            };
+            let size = message::size(&held.record);
+            if size > room {
+                break;
+            }
+            room -= size;
+            message.records.push(held.record.clone());
+            let left = self.updates.get_mut(&name).expect("just listed");
+            *left -= 1;
+            if *left == 0 {
+                self.updates.remove(&name);
+            }
+        }
+    }
+
+    pub(super) fn ask(&mut self, now: Moment, purpose: Purpose, to: SocketAddr) {
+        let name = match &purpose {
+            Purpose::Probe(name) | Purpose::DirectProbe(name) => Some(name.clone()),
+            Purpose::RejoinProbe | Purpose::IndirectProbe { .. } => None,
+        };
+        let nonce = self.probes.ask(now, purpose, to, self.terms.answer, self.terms.period, &mut self.rng);
+        self.send(now, to, name.as_ref(), Body::Ping(nonce), Vec::new());
+    }
+
+    /// Told on with the next messages.
+    pub(super) fn disseminate(&mut self, name: &Name) {
+        let times = RETELL * ((self.size() + 1) as f64).log2().ceil();
+        self.updates.insert(name.clone(), times as u32);
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,7 +7,8 @@
 pub mod engines;
 pub mod gateway;
 pub mod keys;
-pub mod letter;
+pub mod message;
+pub mod metrics;
 pub mod probes;
 pub mod standing;
 pub mod table;
@@ -17,7 +18,10 @@
 pub use engines::{EngineNews, EngineWord};
 pub use gateway::{Datagram, Event, Gateway, Tally};
 pub use keys::{KeyError, Ring};
-pub use letter::Refused;
+/// The module of messages, by the name it had before.
+pub use message as letter;
+pub use message::Refused;
+pub use metrics::Metrics;
 pub use standing::{Assumed, Standing};
 pub use table::Row;
 pub use terms::Terms;
--- a/crates/fleet/src/letter.rs
+++ b/crates/fleet/src/message.rs
@@ -1,6 +1,5 @@
-//! Datagrams: a version, the mark of the key, a keyed code, and a letter behind it.
+//! Datagrams: a version, the mark of the key, a keyed code, and a message behind it.
 
-use admission::interface::Span;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -13,7 +12,7 @@
 pub const LONGEST: usize = 1200;
 const HEAD: usize = 1 + 4 + CODE;
 
-/// Why a datagram counts for nothing.
+/// Purpose a datagram counts for nothing.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Refused {
     #[error("too long or too short")]
@@ -62,7 +61,7 @@
     Pull {
         after: Option<Name>,
     },
-    /// A part of the table: its records stand among the letter's; `next` is where it goes on.
+    /// A part of the table: its records stand among the message's; `next` is where it goes on.
     Page {
         next: Option<Name>,
     },
@@ -80,11 +79,11 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Letter {
+pub struct Message {
     pub fleet: Name,
     /// The sender's word of itself.
     pub from: Record,
-    /// Rises with each letter of a life.
+    /// Rises with each message of a life.
     pub counter: u64,
     pub view: View,
     pub body: Body,
@@ -92,9 +91,9 @@
     pub engines: Vec<EngineNews>,
 }
 
-/// Bytes on the wire. A letter is made to fit, see `size`.
-pub fn seal(ring: &Ring, letter: &Letter) -> Vec<u8> {
-    let body = postcard::to_allocvec(letter).expect("plain values");
+/// Bytes on the wire. A message is made to fit, see `size`.
+pub fn seal(ring: &Ring, message: &Message) -> Vec<u8> {
+    let body = postcard::to_allocvec(message).expect("plain values");
     let head = [&[VERSION][..], &ring.signs().0].concat();
     let code = ring.code(&[&head, &body]);
     [&head[..], &code, &body].concat()
@@ -105,13 +104,13 @@
     postcard::to_allocvec(of).map_or(LONGEST, |bytes| bytes.len())
 }
 
-/// What is left in a datagram beside a letter that carries nothing yet.
-pub fn room(letter: &Letter) -> usize {
-    LONGEST.saturating_sub(HEAD + size(letter) + 4)
+/// What is left in a datagram beside a message that carries nothing yet.
+pub fn room(message: &Message) -> usize {
+    LONGEST.saturating_sub(HEAD + size(message) + 4)
 }
 
 /// Cheap checks first: a flood of what is not ours costs a look at five bytes each.
-pub fn open(ring: &Ring, fleet: &Name, bytes: &[u8]) -> Result<Letter, Refused> {
+pub fn open(ring: &Ring, fleet: &Name, bytes: &[u8]) -> Result<Message, Refused> {
     if bytes.len() <= HEAD || bytes.len() > LONGEST {
         return Err(Refused::Size);
     }
@@ -126,11 +125,11 @@
         Some(false) => return Err(Refused::Code),
         Some(true) => {}
     }
-    let (letter, left) = postcard::take_from_bytes::<Letter>(body).map_err(|_| Refused::Form)?;
+    let (message, left) = postcard::take_from_bytes::<Message>(body).map_err(|_| Refused::Form)?;
     if !left.is_empty() {
         return Err(Refused::Form);
     }
-    if letter.fleet == *fleet { Ok(letter) } else { Err(Refused::Foreign) }
+    if message.fleet == *fleet { Ok(message) } else { Err(Refused::Foreign) }
 }
 
 /// Which counters of one life came already: late ones count once within a window, older ones not at all.
@@ -160,6 +159,5 @@
     }
 }
 
-pub fn millis(span: Span) -> u32 {
-    (span.secs() * 1e3).clamp(0.0, f64::from(u32::MAX)) as u32
-}
+/// A message, by the name it had before.
+pub type Letter = Message;
--- /dev/null
+++ b/crates/fleet/src/metrics.rs
@@ -0,0 +1,44 @@
+//! Counts since the start, by the names under which the program prints them.
+
+macro_rules! metrics {
+    ($($name:ident: $what:literal),* $(,)?) => {
+        /// Counts since the start.
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Metrics {
+            $(#[doc = $what] pub $name: u64,)*
+        }
+
+        impl Metrics {
+            pub fn each(&self) -> [(&'static str, u64); [$($what),*].len()] {
+                [$((stringify!($name), self.$name)),*]
+            }
+        }
+    };
+}
+
+metrics! {
+    sent: "datagrams given out",
+    sent_bytes: "bytes of these",
+    taken: "datagrams that counted",
+    refused_size: "too long or too short",
+    refused_version: "of another version",
+    refused_key: "by a key not accepted",
+    refused_code: "whose code does not hold",
+    refused_form: "that cannot be read",
+    refused_foreign: "of another fleet",
+    refused_repeated: "that came before",
+    refused_address: "from another address than they say",
+    refused_unasked: "answers to nothing asked",
+    refused_many: "questions beyond the pace at which they are answered",
+    refused_own_name: "under this gateway's own name",
+    beyond: "records beyond belief: incarnations at the end of their range or far ahead",
+    unvouched: "records that too few say, and that were looked into",
+    probes: "gateways probed",
+    probes_failed: "without an answer, by others neither",
+    suspected: "gateways suspected",
+    died: "gateways taken for dead",
+    revived: "of these, that came back without a restart: false deaths",
+    refuted: "times this gateway said that it is there",
+    stood_still: "times this loop was late by more than half an answer's time",
+    standings: "changes of standing",
+}
--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -8,27 +8,27 @@
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg64Mcg;
 
-use crate::letter::Nonce;
+use crate::message::Nonce;
 use crate::who::{Name, Record};
 
 /// How many times over a gateway that does badly itself stretches its time-outs.
 const WORST_HEALTH: u32 = 8;
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum Why {
+pub enum Purpose {
     /// In turn, or since something was heard: no answer makes it suspect.
     Probe(Name),
     /// One never met: no answer and it is forgotten.
-    Look(Name),
+    DirectProbe(Name),
     /// A seed, or one that had gone: no answer means nothing.
-    Call,
+    RejoinProbe,
     /// For another gateway that cannot reach it.
-    Help { asker: SocketAddr, nonce: Nonce },
+    IndirectProbe { asker: SocketAddr, nonce: Nonce },
 }
 
 #[derive(Clone, Debug)]
 pub struct Asked {
-    pub why: Why,
+    pub purpose: Purpose,
     pub to: SocketAddr,
     /// When the next step is due: others are asked, or it is over.
     pub due: Moment,
@@ -86,18 +86,18 @@
     pub fn ask(
         &mut self,
         now: Moment,
-        why: Why,
+        purpose: Purpose,
         to: SocketAddr,
         answer: Span,
         over: Span,
         rng: &mut Pcg64Mcg,
     ) -> Nonce {
         let nonce = Nonce(rng.random());
-        let stretch = if matches!(why, Why::Help { .. }) { 1.0 } else { self.stretch() };
+        let stretch = if matches!(purpose, Purpose::IndirectProbe { .. }) { 1.0 } else { self.stretch() };
         let after = |span: Span| now + Span::from_secs(span.secs() * stretch);
         let (due, over) = (after(answer), after(over));
-        let due = if matches!(why, Why::Probe(_)) { due } else { over };
-        self.out.insert(nonce, Asked { why, to, due, over, helpers: BTreeSet::new(), silent: 0 });
+        let due = if matches!(purpose, Purpose::Probe(_)) { due } else { over };
+        self.out.insert(nonce, Asked { purpose, to, due, over, helpers: BTreeSet::new(), silent: 0 });
         nonce
     }
 
@@ -111,15 +111,17 @@
 
     /// Whether this one is being asked already.
     pub fn asks(&self, name: &Name) -> bool {
-        self.out.values().any(|asked| matches!(&asked.why, Why::Probe(of) | Why::Look(of) if of == name))
+        self.out.values().any(
+            |asked| matches!(&asked.purpose, Purpose::Probe(of) | Purpose::DirectProbe(of) if of == name),
+        )
     }
 
-    pub fn looks(&self) -> usize {
-        self.out.values().filter(|asked| matches!(asked.why, Why::Look(_))).count()
+    pub fn direct_probes(&self) -> usize {
+        self.out.values().filter(|asked| matches!(asked.purpose, Purpose::DirectProbe(_))).count()
     }
 
     pub fn helps(&self) -> usize {
-        self.out.values().filter(|asked| matches!(asked.why, Why::Help { .. })).count()
+        self.out.values().filter(|asked| matches!(asked.purpose, Purpose::IndirectProbe { .. })).count()
     }
 
     pub fn due(&self) -> Option<Moment> {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -6,19 +6,19 @@
 use admission::interface::{Moment, Span};
 use sha2::{Digest, Sha256};
 
-use crate::letter::{Seen, View};
+use crate::message::{Seen, View};
 use crate::who::{Life, Name, Record, State};
 
-/// Voices kept about one gateway, the latest; and how long a voice counts.
-const VOICES: usize = 8;
-const VOICE_S: f64 = 20.0;
+/// Voices kept about one gateway, the latest; and how long a witness counts.
+const WITNESSES: usize = 8;
+const WITNESS_S: f64 = 20.0;
 /// How long one that is hearsay alone stays.
 const HEARSAY_S: f64 = 30.0;
 /// Looks at one never met before it is dropped.
 const LOOKS: u8 = 2;
 
 #[derive(Clone, Debug)]
-pub struct Voice {
+pub struct Witness {
     pub says: Record,
     pub at: Moment,
     pub host: IpAddr,
@@ -38,7 +38,7 @@
     /// When it last answered this gateway itself.
     pub answered: Option<Moment>,
     pub suspicion: Option<Suspicion>,
-    pub voices: BTreeMap<Name, Voice>,
+    pub witnesses: BTreeMap<Name, Witness>,
     pub seen: (Life, Seen),
     pub failed_looks: u8,
     /// Of name and life, as they go into the view's digest.
@@ -62,7 +62,7 @@
             since: now,
             answered: None,
             suspicion: None,
-            voices: BTreeMap::new(),
+            witnesses: BTreeMap::new(),
             seen,
             failed_looks: 0,
             mark: (life, mark_of),
@@ -73,22 +73,22 @@
         self.known && self.record.state.counts()
     }
 
-    /// Different hosts among the voices that this holds for; several gateways of one host are one voice.
+    /// Different hosts among the witnesses that this holds for; several gateways of one host are one witness.
     pub fn hosts(&self, now: Moment, that: impl Fn(&Record) -> bool) -> BTreeSet<IpAddr> {
-        let fresh = |voice: &&Voice| (now - voice.at).secs() < VOICE_S && that(&voice.says);
-        self.voices.values().filter(fresh).map(|voice| voice.host).collect()
+        let fresh = |witness: &&Witness| (now - witness.at).secs() < WITNESS_S && that(&witness.says);
+        self.witnesses.values().filter(fresh).map(|witness| witness.host).collect()
     }
 
     /// The record that `need` hosts at least vouch for, if any: of the same life and address, at an incarnation that so
-    /// many reach, so that a single voice moves neither.
+    /// many reach, so that a single witness moves neither.
     pub fn vouched(&self, now: Moment, need: usize, that: impl Fn(&Record) -> bool) -> Option<Record> {
-        let fresh = |voice: &&Voice| (now - voice.at).secs() < VOICE_S && that(&voice.says);
+        let fresh = |witness: &&Witness| (now - witness.at).secs() < WITNESS_S && that(&witness.says);
         let mut by: BTreeMap<(Life, std::net::SocketAddr), BTreeMap<IpAddr, &Record>> = BTreeMap::new();
-        for voice in self.voices.values().filter(fresh) {
-            let hosts = by.entry((voice.says.life, voice.says.address)).or_default();
-            let best = hosts.entry(voice.host).or_insert(&voice.says);
-            if voice.says.incarnation > best.incarnation {
-                *best = &voice.says;
+        for witness in self.witnesses.values().filter(fresh) {
+            let hosts = by.entry((witness.says.life, witness.says.address)).or_default();
+            let best = hosts.entry(witness.host).or_insert(&witness.says);
+            if witness.says.incarnation > best.incarnation {
+                *best = &witness.says;
             }
         }
         let enough = by.into_values().filter(|hosts| hosts.len() >= need).filter_map(|hosts| {
@@ -139,7 +139,7 @@
     pub fn add(&mut self, now: Moment, record: Record, known: bool) -> bool {
         if self.held.len() >= self.most {
             let weakest = self.held.iter().filter(|(_, held)| !held.known);
-            let weakest = weakest.min_by_key(|(_, held)| (held.voices.len(), held.since));
+            let weakest = weakest.min_by_key(|(_, held)| (held.witnesses.len(), held.since));
             let Some(name) = weakest.filter(|_| known).map(|(name, _)| name.clone()) else { return false };
             self.held.remove(&name);
         }
@@ -176,13 +176,14 @@
         self.held.range::<Name, _>((from, Unbounded)).map(|(_, held)| held).filter(|held| held.known)
     }
 
-    pub fn voice(&mut self, now: Moment, by: &Name, host: IpAddr, says: Record) {
+    pub fn witness(&mut self, now: Moment, by: &Name, host: IpAddr, says: Record) {
         let Some(held) = self.held.get_mut(&says.name) else { return };
-        if held.voices.len() >= VOICES && !held.voices.contains_key(by) {
-            let oldest = held.voices.iter().min_by_key(|(_, voice)| voice.at).map(|(name, _)| name.clone());
-            oldest.map(|name| held.voices.remove(&name));
+        if held.witnesses.len() >= WITNESSES && !held.witnesses.contains_key(by) {
+            let oldest =
+                held.witnesses.iter().min_by_key(|(_, witness)| witness.at).map(|(name, _)| name.clone());
+            oldest.map(|name| held.witnesses.remove(&name));
         }
-        held.voices.insert(by.clone(), Voice { says, at: now, host });
+        held.witnesses.insert(by.clone(), Witness { says, at: now, host });
     }
 
     /// A look at one came to nothing. Hearsay of one that never answers leaves.
@@ -204,8 +205,8 @@
         if self.held.len() != before {
             self.view = None;
         }
-        let stale = |voice: &Voice| (now - voice.at).secs() >= VOICE_S;
-        self.held.values_mut().for_each(|held| held.voices.retain(|_, voice| !stale(voice)));
+        let stale = |witness: &Witness| (now - witness.at).secs() >= WITNESS_S;
+        self.held.values_mut().for_each(|held| held.witnesses.retain(|_, witness| !stale(witness)));
     }
 
     /// The fleet with this gateway in it: the same for all that hold the same gateways in the same lives, whatever the
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -24,7 +24,7 @@
     pub answers_per_s: f64,
     /// Parts of the table given out a second.
     pub pages_per_s: f64,
-    /// Letters a second that tell of engines.
+    /// Messages a second that tell of engines.
     pub news_per_s: f64,
     /// Gateways of hearsay looked at for oneself, a period.
     pub looks: usize,
@@ -62,7 +62,7 @@
 }
 
 impl Terms {
-    /// Voices that hearsay needs: with so many at least one does not lie.
+    /// Witnesses that gossip needs: with so many at least one does not lie.
     pub fn voices(&self) -> usize {
         self.liars + 1
     }
--- a/crates/fleet/src/who.rs
+++ b/crates/fleet/src/who.rs
@@ -6,13 +6,13 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// A gateway's name, the same after a restart: 1 to 32 letters, digits, dots, underscores and hyphens.
+/// A gateway's name, the same after a restart: 1 to 32 messages, digits, dots, underscores and hyphens.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Name(String);
 
 #[derive(Debug, Error, PartialEq, Eq)]
-#[error("'{0}' is no name of 1 to 32 letters, digits, dots, underscores and hyphens")]
+#[error("'{0}' is no name of 1 to 32 messages, digits, dots, underscores and hyphens")]
 pub struct NoName(String);
 
 impl TryFrom<String> for Name {
