Membership and leases of a gateway composed in a crate of their own

What composed membership and leases stood in the gateway's fleet module, between its socket and its log.

crates/control composes both: datagrams and time in, datagrams, events and the next due time out.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -23,8 +23,7 @@
 
     /// A clock of this machine that nobody sets, and that runs on while the machine sleeps: what was leased ends by it.
     pub fn steady(&self) -> Moment {
-        let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-        Moment::from_secs(now.tv_sec as f64 + now.tv_nsec as f64 / 1e9)
+        steady()
     }
 
     /// The same point on the monotonic clock; the past counts as now.
@@ -33,3 +32,9 @@
         Instant::now() + Duration::from_secs_f64(left)
     }
 }
+
+/// See [`Clock::steady`].
+pub fn steady() -> Moment {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Moment::from_secs(now.tv_sec as f64 + now.tv_nsec as f64 / 1e9)
+}
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -1,5 +1,5 @@
 //! UDP between gateways on the loop. What comes is read in bounded parts a turn; what goes out never waits. What it all
-//! means is decided in `crates/fleet`.
+//! means is decided in `crates/control`.
 
 pub mod files;
 pub mod parts;
@@ -9,6 +9,7 @@
 use std::net::UdpSocket;
 use std::rc::Rc;
 
+use ::control::{Control, Times};
 use ::fleet::{EngineWord, Event, Gateway, Name, State};
 use admission::interface::*;
 use calloop::generic::Generic;
@@ -18,6 +19,7 @@
 use tracing::{info, warn};
 
 use crate::board::list::Names;
+use crate::clock::steady;
 use crate::socket::{Loop, Peer, Ready};
 use files::FleetKeysError;
 use parts::Parts;
@@ -39,7 +41,8 @@
 
 pub struct Fleet {
     terms: FleetTerms,
-    gateway: Gateway,
+    /// Membership, and budgets where these are divided among all.
+    control: Control<Parts>,
     socket: Rc<UdpSocket>,
     handle: Loop,
     token: Option<RegistrationToken>,
@@ -48,14 +51,10 @@
     look_at: Moment,
     /// Benches of this gateway's own that were told, and until when; leaves as they end.
     told: BTreeMap<EngineId, Moment>,
-    /// Where budgets are divided among all.
-    parts: Option<Parts>,
     lines: (Moment, f64),
     pub unlogged: u64,
     /// Datagrams that the machine would not take.
     pub unsent: u64,
-    /// Words of budgets for gateways that are not held to be there.
-    pub uncarried: u64,
 }
 
 impl Fleet {
@@ -94,18 +93,16 @@
         info!(%name, bind = %terms.bind, advertise = %terms.advertise, "fleet");
         Ok(Fleet {
             terms: terms.clone(),
-            gateway,
+            control: Control::new(gateway),
             socket,
             handle: handle.clone(),
             token: Some(token),
             unread: true,
             look_at: now,
             told: BTreeMap::new(),
-            parts: None,
             lines: (now, LINES_PER_S),
             unlogged: 0,
             unsent: 0,
-            uncarried: 0,
         })
     }
 
@@ -115,7 +112,7 @@
     /// A key cannot be used: all stays as it was.
     pub fn change(&mut self, terms: &FleetTerms) -> Result<Vec<&'static str>, FleetError> {
         let ring = files::read(&terms.keys_folder)?;
-        self.gateway.change(terms.seeds.clone(), ring, terms.paces.clone());
+        self.control.membership_mut().change(terms.seeds.clone(), ring, terms.paces.clone());
         let old = std::mem::replace(&mut self.terms, terms.clone());
         let same = [
             ("fleet", old.fleet == terms.fleet),
@@ -135,8 +132,7 @@
         if self.unread {
             return now;
         }
-        let parts = self.parts.as_ref().map(|parts| parts.due(now));
-        parts.into_iter().fold(self.gateway.due().min(self.look_at), Moment::min)
+        self.control.due(Times { now, steady: steady() }).min(self.look_at)
     }
 
     /// Reads what came, does what is due, sends what follows.
@@ -148,7 +144,7 @@
             }
             match self.socket.recv_from(&mut bytes) {
                 // What counts for nothing is counted by its reason.
-                Ok((size, from)) => drop(self.gateway.receive(now, from, &bytes[..size])),
+                Ok((size, from)) => drop(self.control.receive(now, from, &bytes[..size])),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => self.unread = false,
                 // An earlier datagram came to nobody; nothing is wrong with this socket.
                 Err(error)
@@ -156,37 +152,23 @@
                 Err(_) => break,
             }
         }
-        if self.gateway.due() <= now && !self.unread {
-            self.gateway.turn(now);
-        }
-        self.divide(now);
+        self.control.turn(Times { now, steady: steady() }, !self.unread);
+        self.control.leases_mut().into_iter().for_each(Parts::log);
         self.flush();
         self.log(now);
     }
 
-    /// Words of budgets, both ways.
-    fn divide(&mut self, now: Moment) {
-        let carried = self.gateway.take_carried();
-        let Some(parts) = &mut self.parts else { return };
-        for (name, life, words) in carried {
-            parts.receive(&::shares::Who { name, life }, &words);
-        }
-        for (to, words) in parts.turn() {
-            self.uncarried += u64::from(!self.gateway.carry(now, &to, words));
-        }
-    }
-
     /// Budgets are divided among all from now on.
     pub fn join(&mut self, parts: Parts) {
-        self.parts = Some(parts);
+        self.control.set_leases(parts);
     }
 
     pub fn parts(&mut self) -> Option<&mut Parts> {
-        self.parts.as_mut()
+        self.control.leases_mut()
     }
 
     fn flush(&mut self) {
-        for datagram in self.gateway.take_out() {
+        for datagram in self.control.take_out() {
             let sent = self.socket.send_to(&datagram.bytes, datagram.to);
             self.unsent += u64::from(sent.is_err());
         }
@@ -210,14 +192,17 @@
             if self.told.get(id).is_none_or(|told| told < until)
                 && let Some(uid) = names.uid(*id)
             {
-                self.gateway.saw(now, uid, EngineWord::Bad);
+                self.control.membership_mut().saw(now, uid, EngineWord::Bad);
             }
         }
         for id in self.told.keys().filter(|id| !benched.contains_key(id)) {
-            names.uid(*id).into_iter().for_each(|uid| self.gateway.saw(now, uid, EngineWord::Back));
+            names
+                .uid(*id)
+                .into_iter()
+                .for_each(|uid| self.control.membership_mut().saw(now, uid, EngineWord::Back));
         }
         self.told = benched;
-        let doubts = self.gateway.doubted(now).into_iter();
+        let doubts = self.control.membership_mut().doubted(now).into_iter();
         doubts
             .filter_map(|doubt| {
                 Some(EngineDoubt { id: names.id(&doubt.engine)?, seen: doubt.seen, until: doubt.until })
@@ -227,34 +212,30 @@
 
     /// Others are told that it goes; they suspect nothing.
     pub fn leave(&mut self, now: Moment) {
-        let given_back = self.parts.as_mut().map(Parts::leave).unwrap_or_default();
-        for (to, words) in given_back {
-            self.gateway.carry(now, &to, words);
-        }
-        self.gateway.leave(now);
+        self.control.leave(Times { now, steady: steady() });
         self.flush();
     }
 
     pub fn gateway(&mut self) -> &mut Gateway {
-        &mut self.gateway
+        self.control.membership_mut()
     }
 
     /// As the other counters are printed.
     pub fn counters(&mut self) -> String {
-        let each = self.gateway.tally.each();
+        let each = self.control.membership().tally.each();
         let mut text: String = each.iter().map(|(name, count)| format!("fleet_{name}={count} ")).collect();
         text += &format!(
             "fleet_unlogged={} fleet_unsent={} fleet_size={} ",
             self.unlogged,
             self.unsent,
-            self.gateway.size()
+            self.control.membership().size()
         );
-        text += &self.parts.as_mut().map(Parts::counters).unwrap_or_default();
-        text += &format!("fleet_uncarried={} ", self.uncarried);
+        text += &self.control.leases_mut().map(Parts::counters).unwrap_or_default();
+        text += &format!("fleet_uncarried={} ", self.control.undelivered);
         text += &format!(
             "fleet_table={} fleet_standing={} ",
-            self.gateway.table_len(),
-            self.gateway.standing().name().replace(' ', "_")
+            self.control.membership().table_len(),
+            self.control.membership().standing().name().replace(' ', "_")
         );
         text
     }
@@ -262,7 +243,7 @@
     fn log(&mut self, now: Moment) {
         let gone = (now - self.lines.0).secs().max(0.0);
         self.lines = (now, (self.lines.1 + gone * LINES_PER_S).min(LINES_PER_S * 4.0));
-        for event in self.gateway.take_events() {
+        for event in self.control.membership_mut().take_events() {
             if self.lines.1 < 1.0 {
                 self.unlogged += 1;
                 continue;
@@ -279,14 +260,14 @@
                 }
                 Event::Forgotten(name) => info!(gateway = %name, "fleet: forgotten"),
                 Event::Standing(standing) => {
-                    info!(standing = standing.name(), why = %standing, size = self.gateway.size(), "fleet: standing");
+                    info!(standing = standing.name(), why = %standing, size = self.control.membership().size(), "fleet: standing");
                 }
                 Event::Refuted(incarnation) => {
                     warn!(incarnation = incarnation.0, "fleet: others held this gateway for gone");
                 }
                 Event::StoodStill(span) => warn!(seconds = span.secs(), "fleet: this loop stood still"),
                 Event::Doubled { .. } => {
-                    warn!(name = %self.gateway.own().name, "fleet: another process has this name; this one stays out for now");
+                    warn!(name = %self.control.membership().own().name, "fleet: another process has this name; this one stays out for now");
                 }
             }
         }
--- a/crates/gateway/src/fleet/parts.rs
+++ b/crates/gateway/src/fleet/parts.rs
@@ -1,6 +1,7 @@
 //! This gateway's part of the budgets of all: words by the fleet's datagrams, what the decisions may do told as plain
 //! values, and spending counted where it happens.
 
+use ::control::Leases;
 use ::fleet::{Life, Name};
 use ::shares::{Event, Refused, Shares, Terms, Use, Who};
 use admission::interface::*;
@@ -30,6 +31,16 @@
     pub short: u64,
 }
 
+impl Leases for Parts {
+    fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
+    fn shares_mut(&mut self) -> &mut Shares {
+        &mut self.shares
+    }
+}
+
 impl Parts {
     /// `members`: as the lines number them.
     pub fn new(
@@ -66,36 +77,6 @@
         (self.trials, self.cold) = (find(Use::Trials), find(Use::Cold));
     }
 
-    /// When something is due, on the loop's clock.
-    pub fn due(&self, now: Moment) -> Moment {
-        now + (self.shares.due() - self.clock.steady()).max(Span::ZERO)
-    }
-
-    pub fn receive(&mut self, from: &Who, bytes: &[u8]) {
-        let steady = self.clock.steady();
-        self.shares.receive(steady, from, bytes);
-    }
-
-    /// Does what is due, and gives out what is to be sent.
-    pub fn turn(&mut self) -> Vec<(Name, Vec<u8>)> {
-        let steady = self.clock.steady();
-        if self.shares.due() <= steady {
-            self.shares.turn(steady);
-        }
-        self.log();
-        self.out()
-    }
-
-    fn out(&mut self) -> Vec<(Name, Vec<u8>)> {
-        self.shares.take_out().into_iter().map(|letter| (letter.to, letter.word.bytes())).collect()
-    }
-
-    pub fn leave(&mut self) -> Vec<(Name, Vec<u8>)> {
-        let steady = self.clock.steady();
-        self.shares.leave(steady);
-        self.out()
-    }
-
     /// Other budgets, and members as the lines now number them. What else differs waits for a restart; it is named.
     pub fn change(&mut self, terms: Terms, members: &[String]) -> Vec<&'static str> {
         let old = self.shares.core().terms();
@@ -219,7 +200,8 @@
         text
     }
 
-    fn log(&mut self) {
+    /// Tells the log what became of the leases.
+    pub fn log(&mut self) {
         for event in self.shares.take_events() {
             match event {
                 Event::Chosen(number) => info!(number, "shares: this gateway is steward"),
