With no descriptor left, one idle session goes for the notice board

Seen: `idle_clients_that_fill_the_descriptors_do_not_keep_the_board_out` with 1,024 descriptors configured and 64 allowed by the machine: "1024: it never came back to the board" within 10 s. Idle sessions hold every descriptor for up to 30 s, and each question to the board ends for want of one (`Board::ask`), or new clients take what gets free. Change: a question that finds no descriptor closes the session that can best be spared and is asked again in the same turn, once. Ruled out: with the limit told rightly (64 and 64) half the descriptors are never the clients', and the test passed without this.

--- a/crates/gateway/src/board/mod.rs
+++ b/crates/gateway/src/board/mod.rs
@@ -16,7 +16,7 @@
 pub use list::{Event, Events, ListError};
 
 use crate::counters::Counters;
-use crate::socket::{Loop, Peer, Socket};
+use crate::socket::{Loop, Peer, Socket, is_shortage};
 
 /// Network facts, against the 7 s after which an event counts as told however slow the board is. How long
 /// the board may linger; how much later than that a poll is late and another goes out beside it; when a poll
@@ -46,6 +46,8 @@
     last: u64,
     ask_at: Option<Moment>,
     wait: Span,
+    /// The last question found no descriptor.
+    short: bool,
     /// Of a fleet that loses its board in one instant each gateway asks again at an instant of its own.
     rng: Pcg64Mcg,
     events: Vec<Event>,
@@ -61,6 +63,7 @@
             last,
             ask_at: Some(now),
             wait: Span::from_secs(FIRST_WAIT_S),
+            short: false,
             rng: Pcg64Mcg::seed_from_u64(seed),
             events: Vec::new(),
         }
@@ -111,6 +114,17 @@
         }
     }
 
+    /// No descriptor was left for the last question. Told once.
+    pub fn short(&mut self) -> bool {
+        std::mem::take(&mut self.short)
+    }
+
+    /// Asks at once, since there may be a descriptor by now.
+    pub fn ask_again(&mut self, now: Moment, counters: &mut Counters) {
+        self.ask(now, counters);
+        self.short = false;
+    }
+
     fn ask(&mut self, now: Moment, counters: &mut Counters) {
         self.ask_at = None;
         if self.polls.len() >= POLLS {
@@ -125,7 +139,10 @@
                 self.question(now, &mut poll, counters);
                 self.polls.insert(at, poll);
             }
-            Err(error) => self.failed(now, &error.to_string(), counters),
+            Err(error) => {
+                self.short = is_shortage(&error);
+                self.failed(now, &error.to_string(), counters);
+            }
         }
     }
 
--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -234,29 +234,40 @@
     /// just came has the time to ask: then the longest idle goes.
     fn make_room(&mut self, now: Moment, counters: &mut Counters) {
         for _ in 0..MAKE_ROOM {
-            if self.sessions.len() < self.share {
+            if self.sessions.len() < self.share || !self.close_one(now, counters) {
                 return;
             }
-            let (mut new, mut oldest) = (0, [None; 3]);
-            for (id, session) in &self.sessions {
-                let Some((rest, since)) = session.spare() else { continue };
-                new += usize::from(rest == Rest::New);
-                let oldest = &mut oldest[rest as usize];
-                *oldest = oldest.map_or(Some((since, *id)), |old: (Moment, u32)| Some(old.min((since, *id))));
-            }
-            let [over, new_one, idle_one] = oldest;
-            let crowd = new as f64 > self.share as f64 * NEW_SHARE;
-            let goes = if crowd { new_one.or(idle_one) } else { idle_one.or(new_one) };
-            let Some((_, id)) = over.or(goes) else { return };
-            // One that asks in this very moment is none to spare, and another goes.
-            if self.at_rest(now, id, counters) {
-                counters.sessions_crowded += 1;
-                self.sessions.get_mut(&id).into_iter().for_each(|session| session.socket.finish());
-                self.end(id, counters);
-            }
         }
     }
 
+    /// A descriptor is needed for something else than clients. False: no session can be spared.
+    pub fn give_up_one(&mut self, now: Moment, counters: &mut Counters) -> bool {
+        let before = self.sessions.len();
+        (0..MAKE_ROOM).any(|_| self.close_one(now, counters) && self.sessions.len() < before)
+    }
+
+    /// Closes the session that can best be spared, or answers it if it asks just then. False: none can.
+    fn close_one(&mut self, now: Moment, counters: &mut Counters) -> bool {
+        let (mut new, mut oldest) = (0, [None; 3]);
+        for (id, session) in &self.sessions {
+            let Some((rest, since)) = session.spare() else { continue };
+            new += usize::from(rest == Rest::New);
+            let oldest = &mut oldest[rest as usize];
+            *oldest = oldest.map_or(Some((since, *id)), |old: (Moment, u32)| Some(old.min((since, *id))));
+        }
+        let [over, new_one, idle_one] = oldest;
+        let crowd = new as f64 > self.share as f64 * NEW_SHARE;
+        let goes = if crowd { new_one.or(idle_one) } else { idle_one.or(new_one) };
+        let Some((_, id)) = over.or(goes) else { return false };
+        // One that asks in this very moment is none to spare, and another goes.
+        if self.at_rest(now, id, counters) {
+            counters.sessions_crowded += 1;
+            self.sessions.get_mut(&id).into_iter().for_each(|session| session.socket.finish());
+            self.end(id, counters);
+        }
+        true
+    }
+
     /// The last look before a session is closed: nothing whole has come since it was read. What has is worked off, and the
     /// session stays for its answer.
     fn at_rest(&mut self, now: Moment, id: u32, counters: &mut Counters) -> bool {
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -242,6 +242,10 @@
         self.clients.expire(now, &mut self.counters);
         self.clients.go_on(now, &mut self.counters);
         self.board.expire(now, &mut self.counters);
+        // Idle clients may hold every descriptor: one goes for the board, without which no news of engines comes.
+        if self.board.short() && self.clients.give_up_one(now, &mut self.counters) {
+            self.board.ask_again(now, &mut self.counters);
+        }
         let events = self.board.events();
         self.told(now, &events);
         self.reports(now);
