--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -14,20 +14,10 @@
 use toy::board::target;
 use toy::client::{Answer, Client, login_packet, packet, query_packet};
 
+use support::clients::*;
 use support::script::{Asked, Link, Script, completed, delivered, reset, said};
 use support::*;
 
-/// Statements may wait for long, and what is begun is never out of time: only the ending that is tried ends anything.
-fn patient(config: &mut Value) {
-    let settings = &mut config["settings"];
-    for product in 0..2 {
-        settings["Grades"][product]["GiveUpS"] = json!(600.0);
-        settings["Grades"][product]["GoalTimeS"] = json!(300.0);
-    }
-    settings["Limits"]["ConnectTimeoutS"] = json!(30.0);
-    settings["Limits"]["MaxAttempts"] = json!(6);
-}
-
 /// The same where the first product has another effect.
 fn effect(effect: &'static str, window_s: f64) -> impl FnOnce(&mut Value) {
     move |config| {
@@ -38,99 +28,6 @@
     }
 }
 
-struct Text {
-    rid: String,
-    query: String,
-}
-
-fn text(mem: u32, statement: &str) -> Text {
-    let query = commented(500_000, statement).replace("mem=8", &format!("mem={mem}"));
-    Text { rid: query.split("rid=").nth(1).unwrap()[..16].to_owned(), query }
-}
-
-/// So much memory that only one such statement runs at a time.
-const LARGE: u32 = 5000;
-
-/// Sends it, and waits until the gateway's machine has it.
-fn send(client: &mut Client, text: &Text) {
-    client.stream.write_all(&query_packet(&text.query)).unwrap();
-    delivered(&[client.stream.local_addr().unwrap()]);
-}
-
-/// Ways in which a client leaves.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Way {
-    Closes,
-    /// It sends no more, and still reads.
-    Shuts,
-    Resets,
-    Kills,
-}
-
-const WAYS: [Way; 4] = [Way::Closes, Way::Shuts, Way::Resets, Way::Kills];
-
-/// The client leaves, and the gateway's machine knows; what is returned keeps the connection open where the way does.
-fn leave(way: Way, client: Client, gateway: SocketAddr) -> Vec<TcpStream> {
-    leave_all(way, vec![client], gateway)
-}
-
-fn leave_all(way: Way, clients: Vec<Client>, gateway: SocketAddr) -> Vec<TcpStream> {
-    let mut ends: Vec<SocketAddr> =
-        clients.iter().map(|client| client.stream.local_addr().unwrap()).collect();
-    let kept: Vec<TcpStream> = clients.into_iter().flat_map(|client| left(way, client, gateway)).collect();
-    ends.extend(kept.iter().map(|stream| stream.local_addr().unwrap()));
-    delivered(&ends);
-    kept
-}
-
-fn left(way: Way, client: Client, gateway: SocketAddr) -> Vec<TcpStream> {
-    match way {
-        Way::Closes => Vec::new(),
-        Way::Shuts => {
-            client.stream.shutdown(Shutdown::Write).unwrap();
-            vec![client.stream]
-        }
-        Way::Resets => {
-            reset(&client.stream);
-            Vec::new()
-        }
-        Way::Kills => {
-            // All at once, since a gateway that stands still sends no greeting.
-            let mut other = TcpStream::connect(gateway).unwrap();
-            let kill = query_packet(&format!("KILL QUERY {}", client.connection));
-            other.write_all(&[login_packet("app", b"", "warehouse"), kill].concat()).unwrap();
-            vec![client.stream, other]
-        }
-    }
-}
-
-/// One statement that fills the engine, so that others are held: its client and its engine's side.
-fn filled(gateway: &Gateway, engine: &Script) -> (Client, Link, Asked) {
-    let (mut client, first) = (gateway.client(), text(LARGE, "SELECT 'fills'"));
-    send(&mut client, &first);
-    let mut link = engine.accept();
-    let asked = link.asked();
-    assert_eq!(asked.id, first.rid);
-    (client, link, asked)
-}
-
-fn each<T: Copy + Send + Sync>(of: &[T], case: impl Fn(T) + Sync) {
-    thread::scope(|scope| {
-        for one in of {
-            let case = &case;
-            scope.spawn(move || case(*one));
-        }
-    });
-}
-
-fn ended(gateway: Gateway) -> String {
-    gateway.signal(Signal::TERM);
-    let (status, log) = gateway.end(millis(8000));
-    assert!(status.success(), "{log}");
-    add_up(&log);
-    log
-}
-
 #[test]
 fn who_leaves_while_held_is_not_sent_on() {
     each(&WAYS, |way| {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway process between our own stand-ins, for all tests on sockets.
 #![allow(dead_code)]
 
+pub mod clients;
 pub mod script;
 
 use std::io::{BufRead, BufReader, Read};
