--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -101,6 +101,15 @@
     Idle,
 }
 
+/// A client that sends no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Left {
+    /// In which turn that was seen.
+    pub seen: Moment,
+    /// When its end had come to this machine: long before where we stood still, or its connection waited to be taken.
+    pub came: Moment,
+}
+
 struct Session {
     socket: Socket,
     from: IpAddr,
@@ -123,8 +132,9 @@
     begun: Option<Moment>,
     /// Since when whole packets have stood behind an open statement: their clients' time runs.
     behind: Option<Moment>,
-    /// When its client was seen to send no more.
-    left: Option<Moment>,
+    /// When its client had been heard of last before we took its connection.
+    heard: Moment,
+    left: Option<Left>,
     written: u64,
 }
 
@@ -224,29 +234,40 @@
     /// just came has the time to ask: then the longest idle goes.
     fn make_room(&mut self, now: Moment, counters: &mut Counters) {
         for _ in 0..MAKE_ROOM {
-            if self.sessions.len() < self.share {
+            if self.sessions.len() < self.share || !self.close_one(now, counters) {
                 return;
             }
-            let (mut new, mut oldest) = (0, [None; 3]);
-            for (id, session) in &self.sessions {
-                let Some((rest, since)) = session.spare() else { continue };
-                new += usize::from(rest == Rest::New);
-                let oldest = &mut oldest[rest as usize];
-                *oldest = oldest.map_or(Some((since, *id)), |old: (Moment, u32)| Some(old.min((since, *id))));
-            }
-            let [over, new_one, idle_one] = oldest;
-            let crowd = new as f64 > self.share as f64 * NEW_SHARE;
-            let goes = if crowd { new_one.or(idle_one) } else { idle_one.or(new_one) };
-            let Some((_, id)) = over.or(goes) else { return };
-            // One that asks in this very moment is none to spare, and another goes.
-            if self.at_rest(now, id, counters) {
-                counters.sessions_crowded += 1;
-                self.sessions.get_mut(&id).into_iter().for_each(|session| session.socket.finish());
-                self.end(id, counters);
-            }
         }
     }
 
+    /// A descriptor is needed for something else than clients. False: no session can be spared.
+    pub fn give_up_one(&mut self, now: Moment, counters: &mut Counters) -> bool {
+        let before = self.sessions.len();
+        (0..MAKE_ROOM).any(|_| self.close_one(now, counters) && self.sessions.len() < before)
+    }
+
+    /// Closes the session that can best be spared, or answers it if it asks just then. False: none can.
+    fn close_one(&mut self, now: Moment, counters: &mut Counters) -> bool {
+        let (mut new, mut oldest) = (0, [None; 3]);
+        for (id, session) in &self.sessions {
+            let Some((rest, since)) = session.spare() else { continue };
+            new += usize::from(rest == Rest::New);
+            let oldest = &mut oldest[rest as usize];
+            *oldest = oldest.map_or(Some((since, *id)), |old: (Moment, u32)| Some(old.min((since, *id))));
+        }
+        let [over, new_one, idle_one] = oldest;
+        let crowd = new as f64 > self.share as f64 * NEW_SHARE;
+        let goes = if crowd { new_one.or(idle_one) } else { idle_one.or(new_one) };
+        let Some((_, id)) = over.or(goes) else { return false };
+        // One that asks in this very moment is none to spare, and another goes.
+        if self.at_rest(now, id, counters) {
+            counters.sessions_crowded += 1;
+            self.sessions.get_mut(&id).into_iter().for_each(|session| session.socket.finish());
+            self.end(id, counters);
+        }
+        true
+    }
+
     /// The last look before a session is closed: nothing whole has come since it was read. What has is worked off, and the
     /// session stays for its answer.
     fn at_rest(&mut self, now: Moment, id: u32, counters: &mut Counters) -> bool {
@@ -315,6 +336,7 @@
             Ok(socket) => socket,
             Err(error) => return debug!(%error, "client not taken"),
         };
+        let heard = socket.heard(now);
         counters.sessions_opened += 1;
         let mut session = Session {
             socket,
@@ -330,6 +352,7 @@
             moved: now,
             begun: None,
             behind: None,
+            heard,
             left: None,
             written: 0,
         };
@@ -372,7 +395,10 @@
                 Err(_) => return self.end(id, counters),
             };
         if left {
-            session.left.get_or_insert(now);
+            // What we write is acknowledged, and the machine's word of the client's end with it.
+            let taken_now = session.opened == now;
+            let came = if taken_now { session.heard } else { session.socket.heard(now) };
+            session.left.get_or_insert(Left { seen: now, came });
             self.left.insert(id);
         }
         for _ in 0..COMMANDS {
@@ -640,8 +666,8 @@
         Some(statement)
     }
 
-    /// Statements whose client sends no more, and was seen to before this turn or before they were taken in it.
-    pub fn left(&self) -> Vec<(StatementId, Moment)> {
+    /// Statements whose client sends no more.
+    pub fn left(&self) -> Vec<(StatementId, Left)> {
         let open = |id: &u32| {
             let session = self.sessions.get(id)?;
             Some((session.statement?, session.left?))
