--- /dev/null
+++ b/crates/gateway/benches/list.rs
@@ -0,0 +1,131 @@
+//! The list of engines through the code that reads it: bytes of the board's answer, time to read it whole, to take
+//! its names and to tell the decisions, and time for one event on top of it. No sockets.
+
+#[path = "../../dispatch/benches/support/fit.rs"]
+#[allow(dead_code)]
+mod fit;
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use admission::interface::{Moment, Span};
+use bytes::BytesMut;
+use dispatch::Dispatch;
+use fit::{Line, median, spread};
+use gateway::board::http::{self, Answered};
+use gateway::board::list::Names;
+use gateway::board::{Event, Events};
+use gateway::service::WAY;
+use serde_json::{Value, json};
+use settings::Settings;
+use toy::board::{event, target};
+
+const SIZES: [u32; 4] = [10, 100, 1_000, 3_100];
+const ROUNDS: usize = 15;
+/// The board answers with up to this many engines within the largest answer that the gateway reads.
+const SEARCH_STEP: u32 = 50;
+
+fn engine(number: u32) -> Value {
+    let [_, high, middle, low] = number.to_be_bytes();
+    target(&format!("e-{number}"), SocketAddr::from(([10, high, middle, low], 7101)), "in_service")
+}
+
+fn answer(last: usize, whole: bool, engines: Vec<Value>) -> Vec<u8> {
+    let body = json!({"rev": last, "notices": [event(last, whole, engines)]}).to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+fn whole_list(engines: u32) -> Vec<u8> {
+    answer(1, true, (1..=engines).map(engine).collect())
+}
+
+fn dispatch(settings: &Settings) -> Dispatch {
+    Dispatch::new(settings.policy(1, WAY).expect("the example's settings"))
+}
+
+fn read(bytes: &[u8]) -> Events {
+    match http::take(&mut BytesMut::from(bytes), false) {
+        Answered::Events(events, _) => events,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Microseconds of taking names, and of telling the decisions.
+fn tell(names: &mut Names, dispatch: &mut Dispatch, events: &[Event]) -> (f64, f64) {
+    let change = events[0].list.as_ref().expect("a change of the list");
+    let begun = Instant::now();
+    let told = names.told(change);
+    let named_us = begun.elapsed().as_secs_f64() * 1e6;
+    let begun = Instant::now();
+    dispatch.told_list(Moment::from_secs(1.0) + Span::ZERO, &told.news);
+    (named_us, begun.elapsed().as_secs_f64() * 1e6)
+}
+
+#[derive(Default)]
+struct Samples {
+    parse: Vec<f64>,
+    names: Vec<f64>,
+    decisions: Vec<f64>,
+    names_again: Vec<f64>,
+    decisions_again: Vec<f64>,
+    event: Vec<f64>,
+}
+
+fn measure(settings: &Settings, engines: u32, samples: &mut Samples) {
+    let bytes = whole_list(engines);
+    let begun = Instant::now();
+    let first = read(&bytes);
+    samples.parse.push(begun.elapsed().as_secs_f64() * 1e6);
+    let (mut names, mut dispatch) =
+        (Names::new(settings.location_names(), settings.machine_names()), dispatch(settings));
+    let (named, told) = tell(&mut names, &mut dispatch, &first.events);
+    samples.names.push(named);
+    samples.decisions.push(told);
+    // The same list again, as after a restart of the board.
+    let (named, told) = tell(&mut names, &mut dispatch, &first.events);
+    samples.names_again.push(named);
+    samples.decisions_again.push(told);
+    let one = answer(2, false, vec![engine(1)]);
+    let begun = Instant::now();
+    let change = read(&one);
+    tell(&mut names, &mut dispatch, &change.events);
+    samples.event.push(begun.elapsed().as_secs_f64() * 1e6);
+}
+
+/// The largest list, to a step, that one answer of the board may carry.
+fn largest_list() -> u32 {
+    let fits = |engines: u32| {
+        matches!(http::take(&mut BytesMut::from(&whole_list(engines)[..]), false), Answered::Events(..))
+    };
+    let mut engines = SIZES[SIZES.len() - 1];
+    assert!(fits(engines), "the target size is refused");
+    while fits(engines + SEARCH_STEP) {
+        engines += SEARCH_STEP;
+    }
+    engines
+}
+
+fn main() {
+    let mut config: Value =
+        serde_json::from_str(include_str!("../../../examples/config.json")).expect("the example is JSON");
+    config["settings"]["PeersTotal"] = json!(1_900);
+    let settings = Settings::from_json(&config["settings"]);
+    let mut all: [Samples; SIZES.len()] = Default::default();
+    for _ in 0..ROUNDS {
+        SIZES.iter().zip(&mut all).for_each(|(engines, samples)| measure(&settings, *engines, samples));
+    }
+    println!("engines {SIZES:?}; microseconds: median (least-most) of {ROUNDS} rounds");
+    let row = |name: &str, values: [Vec<f64>; SIZES.len()]| {
+        println!("{name}: {}", values.iter().map(|of| spread(of)).collect::<Vec<_>>().join(" | "));
+        let points = SIZES.iter().zip(&values).map(|(size, of)| (f64::from(*size), median(of)));
+        println!("    {}", Line::through(&points.collect::<Vec<_>>()));
+    };
+    row("bytes of the answer", SIZES.map(|engines| vec![whole_list(engines).len() as f64]));
+    row("read whole: http and JSON", all.each_ref().map(|samples| samples.parse.clone()));
+    row("names, first list", all.each_ref().map(|samples| samples.names.clone()));
+    row("decisions, first list", all.each_ref().map(|samples| samples.decisions.clone()));
+    row("names, same list again", all.each_ref().map(|samples| samples.names_again.clone()));
+    row("decisions, same list again", all.each_ref().map(|samples| samples.decisions_again.clone()));
+    row("one event, all steps", all.each_ref().map(|samples| samples.event.clone()));
+    println!("largest list in one answer, to {SEARCH_STEP}: {} engines", largest_list());
+}
