laurelhitch-rig scale: hollow gateways by the hundred beside real processes

The users' size is 1,900 gateways; the rig's processes with clients and engines reach some tens on one machine.

A hollow gateway is crates/control with a UDP socket at an address of its own, some hundred to a process and loop; each voter of the leases has a process of its own. Real ones are the rig's, behind its switch, whose Wanted now also names seeds, places, tenants and the number of peers. Faults by an HCL file: single, daily (compressed), rack, zone, regions, loss, coordinator_stop, coordinator_kill, all_at_once. Bounds of memory, processes and descriptors are checked before the start, memory and processes also while it runs. JSON has bytes, datagrams, CPU and memory by gateway, and per fault detection, agreement, false deaths and change of coordinator.

--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -32,6 +32,14 @@
     pub fleet: bool,
     /// Further blocks of each operator's file.
     pub further: String,
+    /// Seeds of all; where empty, the first three gateways.
+    pub seeds: Vec<SocketAddr>,
+    /// Zone and region of each gateway; where empty, none is told.
+    pub places: Vec<(String, String)>,
+    /// Further tenants of the configuration.
+    pub tenants: Vec<String>,
+    /// Gateways that the configuration tells of; zero stands for those of this fleet.
+    pub peers: usize,
 }
 
 impl Wanted {
@@ -48,6 +56,10 @@
             block,
             fleet: true,
             further: String::new(),
+            seeds: Vec::new(),
+            places: Vec::new(),
+            tenants: Vec::new(),
+            peers: 0,
         }
     }
 }
@@ -187,17 +199,29 @@
         std::fs::write(self.keys(at).join("signs"), format!("{key}\n"))
     }
 
-    /// The seeds of all are the first three.
+    /// Where nobody says otherwise, the seeds of all are the first three.
+    fn seeds(&self) -> String {
+        let first = || self.all.iter().take(3).map(|one| one.advertised).collect();
+        let seeds = if self.wanted.seeds.is_empty() { first() } else { self.wanted.seeds.clone() };
+        seeds.iter().map(|seed| format!("\"{seed}\"")).collect::<Vec<_>>().join(", ")
+    }
+
+    fn place(&self, at: usize) -> String {
+        let place = self.wanted.places.get(at);
+        place.map_or_else(String::new, |(zone, region)| {
+            format!("  zone = \"{zone}\"\n  region = \"{region}\"\n")
+        })
+    }
+
     fn operator(&self, at: usize) -> String {
-        let seeds: Vec<String> =
-            self.all.iter().take(3).map(|one| format!("\"{}\"", one.advertised)).collect();
         let one = &self.all[at];
         format!(
-            "fleet {{\n  fleet = \"rig\"\n  bind = \"{}\"\n  advertise = \"{}\"\n  seeds = [{}]\n  keys_folder = \"{}\"\n  {}\n}}\n{}\n",
+            "fleet {{\n  fleet = \"rig\"\n  bind = \"{}\"\n  advertise = \"{}\"\n  seeds = [{}]\n  keys_folder = \"{}\"\n{}  {}\n}}\n{}\n",
             one.bound,
             one.advertised,
-            seeds.join(", "),
+            self.seeds(),
             self.keys(at).display(),
+            self.place(at),
             self.wanted.block,
             self.wanted.further
         )
@@ -213,7 +237,12 @@
         config["seed"] = json!(format!("{:016x}", self.wanted.seed + at as u64));
         config["board"] = json!(self.board.address.to_string());
         config["known"] = self.board.known();
-        config["settings"]["PeersTotal"] = json!(self.wanted.gateways);
+        let peers = if self.wanted.peers == 0 { self.wanted.gateways } else { self.wanted.peers };
+        config["settings"]["PeersTotal"] = json!(peers);
+        if let Some(tenants) = config["settings"]["Tenants"].as_array_mut() {
+            let further = self.wanted.tenants.iter();
+            tenants.extend(further.map(|name| json!({ "Name": name, "AllowancePerS": 1.0 })));
+        }
         let path = self.folder.join(format!("{own}.json"));
         std::fs::write(&path, config.to_string())?;
         let mut command = Command::new(&self.wanted.program);
@@ -312,6 +341,11 @@
         self.all[at].child.is_some()
     }
 
+    /// By gateway; nothing for one that does not run.
+    pub fn process_ids(&self) -> Vec<Option<u32>> {
+        self.all.iter().map(|one| one.child.as_ref().map(Child::id)).collect()
+    }
+
     pub fn signal(&self, at: usize, signal: Signal) {
         if let Some(child) = &self.all[at].child {
             kill_process(Pid::from_child(child), signal).expect("it runs");
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,5 +3,6 @@
 //! restarts the processes. Every child ends with the rig, also when a test panics.
 
 pub mod fleet;
+pub mod scale;
 pub mod script;
 pub mod switch;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,8 +1,10 @@
-use std::path::PathBuf;
+use std::fs::File;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use rig::fleet::{Fleet, Wanted, name};
+use rig::scale::{self, Options};
 use rig::script::Script;
 
 /// Plays faults between several gateway processes on loopback.
@@ -27,13 +29,96 @@
         #[arg(long)]
         alone: bool,
     },
+    /// Runs hollow gateways by the hundred beside real processes, measures them and plays faults.
+    Scale(Scale),
+    /// A process of hollow gateways, told by its standard input.
+    #[command(hide = true)]
+    Hollow,
+}
+
+#[derive(Args)]
+struct Scale {
+    /// Gateways without clients and engines, at least 3.
+    #[arg(long)]
+    hollow: usize,
+    /// Processes of the gateway's program.
+    #[arg(long)]
+    real: usize,
+    /// Engines behind the real ones.
+    #[arg(long, default_value_t = 2)]
+    engines: usize,
+    #[arg(long, default_value_t = 1)]
+    regions: usize,
+    /// In all regions together.
+    #[arg(long, default_value_t = 1)]
+    zones: usize,
+    /// Before any fault: half for the start, half that is measured.
+    #[arg(long, default_value_t = 60.0)]
+    seconds: f64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Budgets divided by leases among all.
+    #[arg(long, default_value_t = 24)]
+    budgets: usize,
+    /// Faults, in HCL: see examples/rig.
+    #[arg(long)]
+    faults: Option<PathBuf>,
+    /// Where the figures go.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// The gateway's program; without it, the one beside this.
+    #[arg(long)]
+    program: Option<PathBuf>,
 }
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
-    let Command::Run { file, seed, program, alone } = Arguments::parse().command;
+    match Arguments::parse().command {
+        Command::Run { file, seed, program, alone } => play(file, seed, program, alone),
+        Command::Scale(arguments) => measure(arguments),
+        Command::Hollow => scale::worker::run(),
+    }
+}
+
+/// The gateway's program where none is named: the one beside this.
+fn beside() -> std::io::Result<PathBuf> {
+    Ok(std::env::current_exe()?.with_file_name("laurelhitch"))
+}
+
+fn measure(arguments: Scale) -> Result<(), Box<dyn std::error::Error>> {
+    // Looked at first, so that a long run is not lost for a wrong path.
+    let mut json = arguments.json.as_ref().map(|path| create(path)).transpose()?;
+    let report = scale::run(Options {
+        hollow: arguments.hollow,
+        real: arguments.real,
+        engines: arguments.engines,
+        regions: arguments.regions,
+        zones: arguments.zones,
+        seconds: arguments.seconds,
+        seed: arguments.seed,
+        budgets: arguments.budgets,
+        faults: arguments.faults,
+        gateway: arguments.program.map_or_else(beside, Ok)?,
+        rig: std::env::current_exe()?,
+    })?;
+    if let Some(json) = &mut json {
+        serde_json::to_writer_pretty(json, &report)?;
+    }
+    print!("{}", report.table());
+    Ok(())
+}
+
+fn create(path: &Path) -> Result<File, String> {
+    File::create(path).map_err(|error| format!("--json: {}: {error}", path.display()))
+}
+
+fn play(
+    file: PathBuf,
+    seed: Option<u64>,
+    program: Option<PathBuf>,
+    alone: bool,
+) -> Result<(), Box<dyn std::error::Error>> {
     let script = Script::parse(&std::fs::read_to_string(&file)?)?;
-    let beside = std::env::current_exe()?.with_file_name("laurelhitch");
-    let mut wanted = Wanted::new(program.unwrap_or(beside), script.gateways);
+    let mut wanted = Wanted::new(program.map_or_else(beside, Ok)?, script.gateways);
     wanted.engines = script.engines;
     wanted.fleet = !alone;
     wanted.seed = seed.unwrap_or(script.seed);
--- /dev/null
+++ b/crates/rig/src/scale/hollow.rs
@@ -0,0 +1,189 @@
+//! One hollow gateway: the control code of the program with a socket of its own, without clients and engines.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+
+use admission::interface::Moment;
+use control::{Control, Times};
+use fleet::{Event, Gateway, Name, Place, Ring};
+use operator::FleetTerms;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use shares::{Shares, Who};
+
+use super::layout::Layout;
+use super::links::Links;
+use super::message::Usage;
+use super::process;
+
+/// Datagrams read in one turn, as in the gateway's process.
+const READS: usize = 64;
+/// The key that the rig's real processes sign with.
+const KEY: [u8; 32] = [1; 32];
+
+/// What all hollow gateways of a process are made from.
+pub struct Plan {
+    pub layout: Layout,
+    pub fleet: FleetTerms,
+    pub shares: Option<shares::Terms>,
+    pub seed: u64,
+}
+
+/// What happened in a turn that the run wants to know.
+#[derive(Debug)]
+pub struct Happened {
+    pub events: Vec<Event>,
+    pub chosen: bool,
+}
+
+pub struct Hollow {
+    pub member: usize,
+    control: Control<Shares>,
+    pub socket: UdpSocket,
+    unread: bool,
+    rng: Pcg64Mcg,
+    pub usage: Usage,
+    pub unsent: u64,
+}
+
+/// Both clocks now.
+pub fn times() -> Times {
+    let moment = Moment::from_secs;
+    Times { now: moment(process::monotonic_s()), steady: moment(process::boottime_s()) }
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("names of the layout are names")
+}
+
+impl Hollow {
+    /// `life`: counts the starts of this member.
+    ///
+    /// # Errors
+    /// Its address cannot be bound.
+    pub fn start(plan: &Plan, member: usize, life: u64) -> std::io::Result<Self> {
+        let address = plan.layout.advertised(member);
+        let socket = UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let seed = plan.seed ^ (member as u64) << 32 ^ life << 44;
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let place = Place {
+            zone: Some(name(&format!("z{}", plan.layout.zone(member)))),
+            region: Some(name(&format!("r{}", plan.layout.region(member)))),
+        };
+        let times = times();
+        let membership = Gateway::new(
+            times.now,
+            plan.fleet.fleet.clone(),
+            name(&plan.layout.name(member)),
+            address,
+            place,
+            plan.fleet.seeds.clone(),
+            Ring::new(&KEY, &[]).expect("one key"),
+            plan.fleet.paces.clone(),
+            rng.random(),
+        );
+        let own = Who { name: membership.own().name.clone(), life: membership.own().life };
+        let mut control = Control::new(membership);
+        if let Some(terms) = &plan.shares {
+            control.set_leases(Shares::new(times.steady, own, terms.clone(), rng.random()));
+        }
+        let usage = Usage { member, ..Usage::default() };
+        Ok(Hollow { member, control, socket, unread: true, rng, usage, unsent: 0 })
+    }
+
+    pub fn set_unread(&mut self) {
+        self.unread = true;
+    }
+
+    pub fn due(&self, times: Times) -> Moment {
+        if self.unread { times.now } else { self.control.due(times) }
+    }
+
+    pub fn view(&mut self) -> (u64, usize) {
+        let digest = self.control.membership_mut().view().digest;
+        (digest, self.control.membership().size())
+    }
+
+    pub fn stalls(&self) -> u64 {
+        self.control.membership().tally.stood_still
+    }
+
+    pub fn undelivered(&self) -> u64 {
+        self.control.undelivered
+    }
+
+    /// Reads what came, does what is due, sends what follows. `to_real`: counts what goes to real processes.
+    pub fn turn(&mut self, layout: &Layout, links: &Links, to_real: &mut [Usage]) -> Happened {
+        let began = process::thread_cpu_s();
+        let now = times().now;
+        self.read(now, layout, links);
+        self.control.turn(times(), !self.unread);
+        self.flush(layout, links, to_real);
+        let events = self.control.membership_mut().take_events();
+        let leases = self.control.leases_mut().map(Shares::take_events).unwrap_or_default();
+        let chosen = leases.iter().any(|event| matches!(event, shares::Event::Chosen(_)));
+        self.usage.cpu_s += process::thread_cpu_s() - began;
+        Happened { events, chosen }
+    }
+
+    fn read(&mut self, now: Moment, layout: &Layout, links: &Links) {
+        let mut bytes = [0; 2048];
+        for _ in 0..READS {
+            if !self.unread {
+                return;
+            }
+            match self.socket.recv_from(&mut bytes) {
+                Ok((size, from)) => self.take(now, from, &bytes[..size], layout, links),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => self.unread = false,
+                // An earlier datagram came to nobody; nothing is wrong with this socket.
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionRefused) => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// What a real process sent comes from its bound address, and its losses are drawn here.
+    fn take(&mut self, now: Moment, from: SocketAddr, bytes: &[u8], layout: &Layout, links: &Links) {
+        let sender = layout.member_bound_at(from);
+        let real = sender.filter(|sender| *sender >= layout.hollow);
+        if real.is_some_and(|sender| self.lost(sender, self.member, layout, links)) {
+            return;
+        }
+        self.usage.datagrams += 1;
+        self.usage.bytes += bytes.len() as u64;
+        let from = sender.map_or(from, |sender| layout.advertised(sender));
+        // What counts for nothing is counted by its reason.
+        let _ = self.control.receive(now, from, bytes);
+    }
+
+    fn lost(&mut self, from: usize, to: usize, layout: &Layout, links: &Links) -> bool {
+        // Drawn for each, whatever becomes of it: the same seed gives the same chances.
+        let drawn: f64 = self.rng.random();
+        drawn < links.lost || !links.direct(layout.region(from), layout.region(to))
+    }
+
+    fn flush(&mut self, layout: &Layout, links: &Links, to_real: &mut [Usage]) {
+        for datagram in self.control.take_out() {
+            self.usage.datagrams += 1;
+            self.usage.bytes += datagram.bytes.len() as u64;
+            let Some(to) = layout.member_at(datagram.to) else { continue };
+            if self.lost(self.member, to, layout, links) {
+                continue;
+            }
+            if let Some(at) = to.checked_sub(layout.hollow) {
+                to_real[at].datagrams += 1;
+                to_real[at].bytes += datagram.bytes.len() as u64;
+            }
+            let sent = self.socket.send_to(&datagram.bytes, layout.bound(to));
+            self.unsent += u64::from(sent.is_err());
+        }
+    }
+
+    /// It gives its lease back and says that it goes.
+    pub fn leave(&mut self, layout: &Layout, links: &Links, to_real: &mut [Usage]) {
+        self.control.leave(times());
+        self.flush(layout, links, to_real);
+    }
+}
--- /dev/null
+++ b/crates/rig/tests/scale.rs
@@ -0,0 +1,118 @@
+//! The small scale run: 60 hollow gateways beside two real processes, a rack of five that ends. Its bounds are some times
+//! what it takes, so that a regression breaks them and a loaded machine does not.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+const RIG: &str = env!("CARGO_BIN_EXE_laurelhitch-rig");
+/// Longest that the whole run may take.
+const WITHIN: Duration = Duration::from_secs(30);
+
+/// The gateway's program, built beside the rig's whenever the workspace's tests are.
+fn gateway() -> PathBuf {
+    let program = Path::new(RIG).with_file_name("laurelhitch");
+    assert!(program.is_file(), "{} is missing: cargo test --workspace builds it", program.display());
+    program
+}
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/rig").join(name)
+}
+
+fn scale(arguments: &[&str]) -> Output {
+    Command::new(RIG).arg("scale").args(arguments).output().unwrap()
+}
+
+fn number(of: &Value, path: &str) -> f64 {
+    of.pointer(path).and_then(Value::as_f64).unwrap_or_else(|| panic!("{path} in {of:#}"))
+}
+
+#[test]
+fn sixty_hollow_beside_two_real_agree_again_after_a_rack_ends() {
+    let json = std::env::temp_dir().join(format!("laurelhitch-scale-{}.json", std::process::id()));
+    let (began, program) = (Instant::now(), gateway());
+    let (json_path, faults) = (json.display().to_string(), example("scale-small.hcl").display().to_string());
+    let out = scale(&[
+        "--hollow",
+        "60",
+        "--real",
+        "2",
+        "--regions",
+        "2",
+        "--zones",
+        "4",
+        "--seconds",
+        "8",
+        "--seed",
+        "1",
+        "--faults",
+        &faults,
+        "--json",
+        &json_path,
+        "--program",
+        &program.display().to_string(),
+    ]);
+    assert!(out.status.success(), "{out:?}");
+    assert!(began.elapsed() < WITHIN, "{:?}", began.elapsed());
+    let report: Value = serde_json::from_slice(&std::fs::read(&json).unwrap()).unwrap();
+    std::fs::remove_file(&json).unwrap();
+    assert!(number(&report, "/start_agreed_s") < 8.0, "{report:#}");
+    assert_eq!(number(&report, "/gateways"), 60.0);
+    assert_eq!(number(&report, "/troubles/false_deaths"), 0.0, "{report:#}");
+    let median = |of: &str| number(&report, &format!("/{of}/median"));
+    assert!(median("bytes_per_second") < MOST_BYTES, "{report:#}");
+    assert!(median("datagrams_per_second") < MOST_DATAGRAMS, "{report:#}");
+    assert!(median("bytes_per_second") > 0.0 && median("cpu_part") > 0.0, "{report:#}");
+    assert!(median("memory_bytes_per_gateway") < MOST_MEMORY, "{report:#}");
+    let real = number(&report, "/comparison/real/bytes_per_second/median");
+    let apart = real / median("bytes_per_second");
+    assert!((0.5..2.0).contains(&apart), "real ones send {apart} times as much: {report:#}");
+    let fault = &report["faults"][0];
+    assert_eq!(fault["ended"], 5);
+    assert!(number(fault, "/detected_s") <= number(fault, "/all_detected_s"));
+    assert!(number(fault, "/detected_s") > 0.0 && number(fault, "/agreed_s") < 9.9, "{report:#}");
+    // Nobody agrees on an end that was not detected; views are compared four times a second.
+    assert!(number(fault, "/agreed_s") >= number(fault, "/all_detected_s"), "{report:#}");
+    assert_eq!(number(fault, "/false_deaths"), 0.0, "{report:#}");
+}
+
+/// Bounds of one gateway: bytes and datagrams a second in both directions, memory in bytes.
+const MOST_BYTES: f64 = 10_000.0;
+const MOST_DATAGRAMS: f64 = 60.0;
+const MOST_MEMORY: f64 = 600_000.0;
+
+#[test]
+fn what_cannot_be_used_is_one_line_that_names_the_place() {
+    let folder = std::env::temp_dir().join(format!("laurelhitch-scale-bad-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = |name: &str, text: &str| {
+        let path = folder.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    };
+    let words = file("words.hcl", "seconds = 10\nfault {\n  at_s = 1\n  what = \"quake\"\n}\n");
+    let long = file("long.hcl", "seconds = 10\nfault {\n  at_s = 1\n  what = \"loss\"\n  seconds = 20\n}\n");
+    let block = file("block.hcl", "seconds = 10\nblock = \"period_ms = 1\"\n");
+    let json = folder.join("none/out.json").display().to_string();
+    let cases: [(&[&str], &str); 9] = [
+        (&["--hollow", "2", "--real", "0"], "--hollow: 2 is not between 3 and 4096"),
+        (&["--hollow", "5000", "--real", "0"], "--hollow: 5000"),
+        (&["--hollow", "60", "--real", "101"], "--real: 101"),
+        (&["--hollow", "60", "--real", "0", "--budgets", "25"], "--budgets: 25"),
+        (&["--hollow", "60", "--real", "0", "--seconds", "0"], "--seconds: 0"),
+        (&["--hollow", "60", "--real", "0", "--faults", &words], "quake"),
+        (&["--hollow", "60", "--real", "0", "--faults", &long], "fault 1 (loss at 1 s): seconds: 20"),
+        (&["--hollow", "60", "--real", "0", "--faults", &block], "fleet.period_ms: 1 is not between"),
+        (&["--hollow", "60", "--real", "0", "--json", &json], "--json: "),
+    ];
+    for (arguments, says) in cases {
+        let out = scale(arguments);
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success() && said.contains(says), "{arguments:?}: {said}");
+        assert_eq!(said.trim_end().lines().count(), 1, "{said}");
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- /dev/null
+++ b/crates/rig/tests/scale_parts.rs
@@ -0,0 +1,104 @@
+//! The pure parts of the scale run.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+
+use rig::scale::layout::{Layout, RealAddress, VOTERS};
+use rig::scale::limits::{self, LimitError};
+use rig::scale::links::Links;
+use rig::scale::report::Spread;
+use rig::scale::script::Script;
+use rig::scale::truth::{GRACE_S, Truth};
+use rig::scale::workers::{MOST_A_PROCESS, parts};
+
+fn layout(hollow: usize) -> Layout {
+    let real = |at: u16| RealAddress {
+        bound: ([127, 200, 0, 1], 20_000 + at).into(),
+        advertised: ([127, 200, 1, 1], 20_000 + at).into(),
+    };
+    Layout { hollow, real: vec![real(0), real(1)], regions: 4, zones: 8, network: 100, port: 25_000 }
+}
+
+#[test]
+fn every_gateway_has_one_name_and_one_address_and_is_found_by_them() {
+    let layout = layout(1898);
+    let addresses: BTreeSet<_> = (0..1900).map(|member| layout.advertised(member)).collect();
+    assert_eq!(addresses.len(), 1900);
+    for member in 0..1900 {
+        assert_eq!(layout.member_named(&layout.name(member)), Some(member));
+        assert_eq!(layout.member_at(layout.advertised(member)), Some(member));
+        assert_eq!(layout.member_bound_at(layout.bound(member)), Some(member));
+    }
+    assert_eq!(layout.member_named("h1898"), None);
+    assert_eq!(layout.member_at(([127, 101, 1, 1], 25_000).into()), None);
+    assert_eq!(layout.seeds().len(), 8);
+}
+
+#[test]
+fn each_voter_has_a_process_of_its_own_and_each_gateway_one() {
+    let parts = parts(&layout(1898));
+    assert!((0..VOTERS).all(|voter| parts[voter] == [voter]));
+    assert!(parts.iter().all(|part| part.len() <= MOST_A_PROCESS));
+    let mut all: Vec<usize> = parts.into_iter().flatten().collect();
+    all.sort_unstable();
+    assert_eq!(all, (0..1898).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_death_is_false_only_of_one_that_lived_and_could_be_reached_for_long() {
+    let mut truth = Truth::new(layout(16));
+    assert!(truth.false_death(0.0, 1, 2));
+    truth.set_lives(10.0, &[2], false);
+    assert!(!truth.false_death(500.0, 1, 2) && truth.living() == 17);
+    truth.set_lives(500.0, &[2], true);
+    assert!(!truth.false_death(500.0 + GRACE_S, 1, 2));
+    assert!(truth.false_death(501.0 + GRACE_S, 1, 2));
+    // Two regions apart still hear of each other by way of a third.
+    truth.set_links(1000.0, Links { cut: vec![(0, 1)], lost: 0.0 });
+    assert!(truth.false_death(1001.0, 0, 1));
+    let alone = (1..4).map(|other| (0, other)).collect();
+    truth.set_links(1100.0, Links { cut: alone, lost: 0.0 });
+    assert!(!truth.false_death(1101.0, 0, 1) && truth.false_death(1101.0, 1, 2));
+    truth.set_links(1200.0, Links::default());
+    assert!(!truth.false_death(1201.0, 0, 1));
+    assert!(truth.false_death(1201.0 + GRACE_S, 0, 1));
+}
+
+#[test]
+fn spreads_are_by_nearest_rank() {
+    let spread = Spread::of((1..=200).map(f64::from).collect());
+    assert_eq!((spread.median, spread.p99, spread.max), (100.0, 198.0, 200.0));
+    assert_eq!(Spread::of(Vec::new()), Spread::default());
+}
+
+#[test]
+fn bounds_are_told_before_anything_starts() {
+    assert_eq!(limits::before(60, 200, 60).unwrap_err(), LimitError::Processes(200));
+    assert!(matches!(limits::before(1_000_000, 10, 60), Err(LimitError::Estimate { .. })));
+    assert!(limits::before(60, 6, 60).is_ok());
+    assert!(limits::during(&[std::process::id()]).unwrap() > 0);
+}
+
+#[test]
+fn the_examples_can_be_used_and_faults_last_no_longer_than_until_the_next() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/rig");
+    for name in ["small", "ends", "network", "coordinator"] {
+        let script = Script::read(&folder.join(format!("scale-{name}.hcl"))).unwrap();
+        assert!(!script.fault.is_empty());
+        assert!((0..script.fault.len()).all(|at| script.watched_s(at) > script.fault[at].seconds));
+    }
+    let late = Script::parse(
+        Path::new("f.hcl"),
+        "seconds = 5\nfault {\n  at_s = 5\n  what = \"regions\"\n  seconds = 1\n}\n",
+    );
+    assert!(late.unwrap_err().to_string().starts_with("f.hcl: fault 1 (regions at 5 s): seconds: 1 is not"));
+}
+
+#[test]
+fn a_day_compressed_has_the_users_rates() {
+    let text = "seconds = 9\nfault {\n  at_s = 0\n  what = \"daily\"\n  seconds = 8\n  compressed = 600\n}\n";
+    let script = Script::parse(Path::new("f.hcl"), text).unwrap();
+    let (failures, restarts) = script.fault[0].daily_rates(1900);
+    assert!((failures * 86_400.0 / 600.0 - 20.0).abs() < 1e-9);
+    assert!((restarts * 86_400.0 / 600.0 - 920.0).abs() < 1e-9);
+}
