--- a/crates/gateway/tests/standing_terms.rs
+++ b/crates/gateway/tests/standing_terms.rs
@@ -388,7 +388,7 @@
     let moods = [Some(Mood::Well), Some(Mood::Silent), Some(Mood::Closing), None];
     let engine = Script::new();
     let start = |which: usize| {
-        let (mood, known) = (moods[which % moods.len()], which / moods.len() % 2 == 0);
+        let (mood, known) = (moods[which % moods.len()], (which / moods.len()).is_multiple_of(2));
         let mut gateway = Gateway::with(&[engine.address], |config| {
             patient(config);
             if mood.is_none() {
