fleet: bounded, limits on what a large fleet sends; off by default

With a third of datagrams lost each of 100 gateways sent some 100 datagrams a second: every hearer of a suspicion probed for itself, and tables were fetched whole every ten periods. With bounded = true a failed probe is repeated before anything is said; of those that hear an update from too few witnesses only some verify at once; gossip and table pages have budgets of bytes; tables go only where views differ. Off, the paths are as before; the view is no longer computed anew for each message, and names are not cloned a period.

--- a/crates/fleet/src/gateway/gossip.rs
+++ b/crates/fleet/src/gateway/gossip.rs
@@ -12,7 +12,8 @@
     pub(super) fn answered_itself(&mut self, now: Moment, from: &Record) {
         self.met = true;
         let name = &from.name;
-        let Some(held) = self.table.get_mut(name) else {
+        self.confirmed_alive(name);
+        let Some(held) = self.table.beside(name) else {
             if self.table.add(now, from.clone(), true) {
                 let held = self.table.get_mut(name).expect("just added");
                 held.answered = Some(now);
@@ -48,16 +49,16 @@
 
     /// Its own word of itself, from its own address: believed of one that is known at that address, else looked into.
     pub(super) fn direct_word(&mut self, now: Moment, from: &Record) {
-        let Some(held) = self.table.get_mut(&from.name) else {
+        let Some(held) = self.table.beside(&from.name) else {
             if from.state.counts() && self.table.add(now, from.clone(), false) {
-                self.direct_probes.insert(from.name.clone(), from.address);
+                self.verify_now(now, &from.name, from.address);
             }
             return;
         };
         let same = held.known && held.record.life == from.life && held.record.address == from.address;
         if !same {
             if from.state.counts() {
-                self.direct_probes.insert(from.name.clone(), from.address);
+                self.verify_now(now, &from.name, from.address);
             }
             return;
         }
@@ -81,7 +82,7 @@
             }
             // Held for worse at this incarnation: it will hear of it, and rise.
             _ => {
-                self.direct_probes.insert(from.name.clone(), from.address);
+                self.verify_now(now, &from.name, from.address);
             }
         }
     }
@@ -107,20 +108,44 @@
             return;
         }
         let name = word.name.clone();
+        if self.terms.bounds.is_some() && self.says_nothing_new(by, &word) {
+            return;
+        }
         self.table.witness(now, &by.name, by.address.ip(), word);
         self.weigh(now, &name);
     }
 
+    /// With bounds: word that agrees with what is held, or that a gateway held alive rose meanwhile, needs no witnesses and
+    /// no probe. What this witness said before is withdrawn by it.
+    fn says_nothing_new(&mut self, by: &Record, word: &Record) -> bool {
+        let Some(held) = self.table.get(&word.name).filter(|held| held.known) else { return false };
+        let same_gateway = held.record.life == word.life && held.record.address == word.address;
+        let both_alive = held.record.state == State::Alive && word.state == State::Alive && same_gateway;
+        let gone_already = !held.counts()
+            && word.state > State::Alive
+            && word.life == held.record.life
+            && word.incarnation <= held.record.incarnation;
+        if held.differs(word) && !both_alive && !gone_already {
+            return false;
+        }
+        let equal = held.record == *word;
+        self.table.withdraw(&by.name, &word.name);
+        if equal && let Some(left) = self.updates.get_mut(&word.name) {
+            // Others tell it too.
+            *left -= 1;
+            if *left == 0 {
+                self.updates.remove(&word.name);
+            }
+        }
+        true
+    }
+
     /// What enough independent witnesses say of one is held; what fewer say is looked into.
     pub(super) fn weigh(&mut self, now: Moment, name: &Name) {
         let need = self.terms.voices();
         let Some(held) = self.table.get(name) else { return };
         // Nearly all that is heard of one is what is held of it; weighing witnesses costs many times this look.
-        let other = |says: &Record| {
-            says.state > State::Alive && says.life == held.record.life
-                || says.incarnation > held.record.incarnation
-        };
-        if held.known && !held.witnesses.values().any(|witness| other(&witness.says)) {
+        if held.known && !held.dissent() {
             return;
         }
         let (record, counts) = (held.record.clone(), held.counts());
@@ -152,7 +177,7 @@
         } else if counts && bad >= need && record.state == State::Alive {
             self.suspect(now, name);
         } else if any_newer > 0 || counts && bad > 0 && record.state == State::Alive {
-            let first = self.direct_probes.insert(name.clone(), at).is_none();
+            let first = self.verify(now, name, at);
             self.tally.unvouched += u64::from(first);
         }
     }
@@ -170,9 +195,8 @@
                 self.changed(now, name);
             }
             None => {
-                if self.direct_probes.insert(name.clone(), address).is_none() {
-                    self.tally.unvouched += 1;
-                }
+                let first = self.verify(now, name, address);
+                self.tally.unvouched += u64::from(first);
             }
         }
     }
@@ -181,6 +205,7 @@
         let Some(held) = self.table.get_mut(name) else { return };
         held.since = now;
         let (state, incarnation) = (held.record.state, held.record.incarnation);
+        self.settled_by_others(name);
         self.disseminate(name);
         self.event(Event::Changed { name: name.clone(), state, incarnation });
     }
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! One gateway's part: messages and time in; messages, events and the next due time out. The struct stands here; each module
 //! beside it holds one job of it.
 
+mod bounded;
 mod engine_news;
 mod event;
 mod exchange;
@@ -20,6 +21,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::bounds::{ByteBudget, Confirming, EXCHANGE_BURST_BYTES, GOSSIP_BURST_S};
 use crate::engines::Engines;
 use crate::keys::Ring;
 use crate::message::{Body, View};
@@ -36,6 +38,20 @@
 /// Counts since the start, by the name they had before.
 pub type Tally = Metrics;
 
+/// A gateway to be probed for oneself.
+#[derive(Clone, Copy, Debug)]
+struct Verification {
+    at: SocketAddr,
+    due: Moment,
+}
+
+/// Of gossip, and of table pages.
+fn byte_budgets(terms: &Terms) -> (ByteBudget, ByteBudget) {
+    let bounds = terms.bounds.clone().unwrap_or_default();
+    let gossip = ByteBudget::new(bounds.gossip_bytes_per_s, bounds.gossip_bytes_per_s * GOSSIP_BURST_S);
+    (gossip, ByteBudget::new(bounds.exchange_bytes_per_s, EXCHANGE_BURST_BYTES))
+}
+
 /// Gateways that are told by itself that this one goes.
 const GOODBYES: usize = 64;
 /// Events that wait to be taken.
@@ -82,7 +98,17 @@
     next_pull: Moment,
     next_news: Moment,
     /// Gateways to be looked at for oneself, and where.
-    direct_probes: BTreeMap<Name, SocketAddr>,
+    direct_probes: BTreeMap<Name, Verification>,
+    /// Gateways whose failed probe is repeated before anything is said of it.
+    confirming: BTreeMap<Name, Confirming>,
+    gossip_bytes: ByteBudget,
+    pages_in_bytes: ByteBudget,
+    pages_out_bytes: ByteBudget,
+    /// Attempts to meet anybody, before it did.
+    rejoins: u32,
+    last_pull: Moment,
+    /// When it last heard from one in the fleet.
+    last_heard: Option<Moment>,
     /// Another life under this name that was asked whether it lives.
     twin: Option<Life>,
     /// It was together with others: whoever takes its name later gives way.
@@ -115,6 +141,7 @@
         // Gateways that start together do not probe in step.
         let chance = Span::from_secs(terms.period.secs() * rng.random::<f64>());
         let first = now + Span::from_secs(0.01);
+        let (gossip_bytes, pages_bytes) = byte_budgets(&terms);
         Gateway {
             fleet,
             ring,
@@ -141,6 +168,13 @@
             next_pull: now + chance,
             next_news: now,
             direct_probes: BTreeMap::new(),
+            confirming: BTreeMap::new(),
+            gossip_bytes,
+            pages_in_bytes: pages_bytes.clone(),
+            pages_out_bytes: pages_bytes,
+            rejoins: 0,
+            last_pull: now,
+            last_heard: None,
             twin: None,
             settled: false,
             out_until: None,
@@ -164,6 +198,11 @@
         self.strangers = Paced::new(terms.answers_per_s);
         self.pages = Paced::new(terms.pages_per_s);
         self.news = Paced::new(terms.news_per_s);
+        if terms.bounds != self.terms.bounds {
+            let (gossip_bytes, pages_bytes) = byte_budgets(&terms);
+            self.gossip_bytes = gossip_bytes;
+            (self.pages_in_bytes, self.pages_out_bytes) = (pages_bytes.clone(), pages_bytes);
+        }
         (self.seeds, self.ring, self.terms) = (seeds, ring, terms);
     }
 
@@ -175,6 +214,11 @@
         std::mem::take(&mut self.events)
     }
 
+    /// When it last heard from another gateway of the fleet: how old what it holds is while it is cut off.
+    pub fn last_heard(&self) -> Option<Moment> {
+        self.last_heard
+    }
+
     /// Gateways in the fleet as this one holds it, itself among them.
     pub fn size(&self) -> usize {
         1 + self.table.fleet().count()
--- a/crates/fleet/src/gateway/probing.rs
+++ b/crates/fleet/src/gateway/probing.rs
@@ -5,7 +5,7 @@
 use admission::interface::Moment;
 use rand::seq::SliceRandom;
 
-use super::Gateway;
+use super::{Gateway, Verification};
 use crate::message::{Body, Nonce};
 use crate::probes::{Purpose, some};
 use crate::who::{Name, State};
@@ -22,17 +22,26 @@
 
     /// Looks for itself at some of those of whom it heard too little to believe it, in an order by chance.
     pub(super) fn start_direct_probes(&mut self, now: Moment) {
-        let mut names: Vec<Name> = self.direct_probes.keys().cloned().collect();
+        let due = self.direct_probes.iter().filter(|(_, verification)| verification.due <= now);
+        let mut names: Vec<Name> = due.map(|(name, _)| name.clone()).collect();
         names.shuffle(&mut self.rng);
+        let most = self.terms.bounds.as_ref().map(|bounds| bounds.direct_probes);
+        if let Some(most) = most {
+            self.tally.bounded_probes += names.len().saturating_sub(most) as u64;
+            names.truncate(most);
+        }
         for name in names {
-            if self.probes.direct_probes() >= self.terms.looks {
+            if most.is_none() && self.probes.direct_probes() >= self.terms.looks {
                 break;
             }
-            let Some(at) = self.direct_probes.remove(&name) else { continue };
+            let Some(Verification { at, .. }) = self.direct_probes.remove(&name) else { continue };
             let Some(held) = self.table.get(&name).filter(|_| !self.probes.asks(&name)) else { continue };
-            // One in the fleet and where it was: a probe, which asks others too before it doubts. These are not counted:
-            // under loss they are many (ten a second each, at a hundred gateways), but bounded to eight a period, a fleet of
-            // 300 that starts still held its seeds, which cannot answer all at once, for suspect twelve seconds after.
+            if most.is_some() && !self.open(held) {
+                self.tally.verified_by_others += 1;
+                continue;
+            }
+            // One in the fleet and where it was: a probe, which asks others too before it doubts. Without bounds these are
+            // not counted: under loss they are many. Counted alone, seeds of a starting fleet stay suspect for too long.
             if held.counts() && held.record.address == at {
                 self.probe(now, &name);
             } else {
@@ -47,7 +56,9 @@
         let seeds = self.seeds.iter().filter(|at| **at != self.own.address && !known(at)).copied();
         let mut seeds: Vec<SocketAddr> = seeds.collect();
         seeds.shuffle(&mut self.rng);
-        seeds.truncate(if self.met { 1 } else { 3 });
+        let patient = self.met || self.terms.bounds.is_some();
+        seeds.truncate(if patient { 1 } else { 3 });
+        self.rejoins = self.rejoins.saturating_add(1);
         let gone = self.table.all().filter(|held| held.known && !held.counts()).map(|held| &held.record);
         seeds.extend(some(gone, 1, &mut self.rng).into_iter().map(|record| record.address));
         seeds.into_iter().for_each(|to| self.ask(now, Purpose::RejoinProbe, to));
@@ -85,7 +96,7 @@
                 if !asked.helpers.is_empty() && asked.silent == 0 {
                     self.probes.worse();
                 }
-                self.suspect(now, &name);
+                self.probe_failed(now, &name);
             }
             Purpose::DirectProbe(name) => self.table.not_there(&name),
             Purpose::RejoinProbe => {}
--- a/crates/fleet/src/gateway/receive.rs
+++ b/crates/fleet/src/gateway/receive.rs
@@ -72,7 +72,9 @@
                 Some(self.answered(now, src, &from, *nonce, &body)?)
             }
             Body::Ping(_) | Body::Ask { .. } if !pace.take(now) => return Err(Refused::Many),
-            Body::Pull { .. } if !self.pages.take(now) => return Err(Refused::Many),
+            Body::Pull { .. } if !self.pages.take(now) || !self.may_give_page(now) => {
+                return Err(Refused::Many);
+            }
             _ => None,
         };
         if asked != Some(true) {
@@ -99,6 +101,9 @@
         engines: &[EngineNews],
     ) {
         let speaks = self.table.get(&from.name).is_some_and(Held::counts);
+        if speaks {
+            self.last_heard = Some(now);
+        }
         if speaks && from.state == State::Alive {
             self.views.push_back((now, view));
             if self.views.len() > 64 {
@@ -148,7 +153,7 @@
             Body::Pull { after } => self.page(now, to, after.as_ref()),
             Body::Page { next } => {
                 self.pull_after = next;
-                if self.pull_after.is_some() && self.pulls.take(now) {
+                if self.pull_after.is_some() && self.pulls.take(now) && self.may_ask_page(now) {
                     let after = self.pull_after.clone();
                     self.send(now, to, Some(&from.name), Body::Pull { after }, Vec::new());
                 }
--- a/crates/fleet/src/gateway/send.rs
+++ b/crates/fleet/src/gateway/send.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
-use admission::interface::Moment;
+use admission::interface::{Moment, Span};
 
 use super::Datagram;
 use super::Gateway;
+use crate::bounds::UPDATES;
 use crate::message::{self, Body, Message};
 use crate::probes::Purpose;
 use crate::who::{Life, Name, Record, State};
@@ -15,7 +16,7 @@
 /// The longest payload: beside it a message has room for its sender and a refutation.
 pub const LONGEST_CARRIED: usize = 850;
 /// An update is told this many times the logarithm of the fleet's size.
-const RETELL: f64 = 3.0;
+pub(super) const RETELL: f64 = 3.0;
 /// No record takes fewer bytes in a message.
 const LEAST_RECORD: usize = 16;
 
@@ -64,7 +65,7 @@
         if !self.sweep.is_empty() || !matches!(message.body, Body::Page { .. }) {
             room = self.add_engine_news(now, &mut message, room);
         }
-        self.add_updates(&mut message, room);
+        self.add_updates_within_budget(now, &mut message, room);
         let bytes = message::seal(&self.ring, &message);
         self.tally.sent += 1;
         self.tally.sent_bytes += bytes.len() as u64;
@@ -84,8 +85,22 @@
         room
     }
 
-    /// Updates of gossip, as many as fit.
-    fn add_updates(&mut self, message: &mut Message, mut room: usize) {
+    /// Updates of gossip: as many as fit, and with bounds as the budget has bytes for.
+    fn add_updates_within_budget(&mut self, now: Moment, message: &mut Message, room: usize) {
+        if self.terms.bounds.is_none() {
+            self.add_updates(message, room);
+            return;
+        }
+        let budget = self.gossip_bytes.left(now).max(0.0) as usize;
+        let before = self.updates.len();
+        self.tally.bounded_gossip += u64::from(budget < room && before > 0);
+        let spent = self.add_updates(message, room.min(budget));
+        self.gossip_bytes.spend(spent as f64);
+    }
+
+    /// Updates of gossip, as many as fit; returns their bytes.
+    fn add_updates(&mut self, message: &mut Message, mut room: usize) -> usize {
+        let before = room;
         // The least told first, by name among equals: the map has them in that order, and the sort keeps it. A message holds a
         // few; of hundreds only these are looked at.
         let mut told: Vec<(u32, &Name)> = self.updates.iter().map(|(name, left)| (*left, name)).collect();
@@ -109,6 +124,7 @@
                 self.updates.remove(&name);
             }
         }
+        before - room
     }
 
     pub(super) fn ask(&mut self, now: Moment, purpose: Purpose, to: SocketAddr) {
@@ -116,13 +132,29 @@
             Purpose::Probe(name) | Purpose::DirectProbe(name) => Some(name.clone()),
             Purpose::RejoinProbe | Purpose::IndirectProbe { .. } => None,
         };
-        let nonce = self.probes.ask(now, purpose, to, self.terms.answer, self.terms.period, &mut self.rng);
+        let (answer, period) = (self.terms.answer, self.terms.period);
+        // A probe that is repeated has no whole period; and a gateway that doubts itself stretches it by the root only, or
+        // one that all others left would take minutes to say so.
+        let repeated = matches!(&purpose, Purpose::Probe(name) if self.confirming.contains_key(name));
+        let short = Span::from_secs(answer.secs() / self.probes.stretch().sqrt());
+        let (answer, over) =
+            if repeated { (short, Span::from_secs(short.secs() * 2.0)) } else { (answer, period) };
+        let nonce = self.probes.ask(now, purpose, to, answer, over, &mut self.rng);
         self.send(now, to, name.as_ref(), Body::Ping(nonce), Vec::new());
     }
 
     /// Told on with the next messages.
     pub(super) fn disseminate(&mut self, name: &Name) {
-        let times = RETELL * ((self.size() + 1) as f64).log2().ceil();
+        if self.terms.bounds.is_none() {
+            let times = RETELL * ((self.size() + 1) as f64).log2().ceil();
+            self.updates.insert(name.clone(), times as u32);
+            return;
+        }
+        let times = RETELL * ((self.table.len() + 2) as f64).log2().ceil();
         self.updates.insert(name.clone(), times as u32);
+        if self.updates.len() > UPDATES {
+            let told = self.updates.iter().min_by_key(|(_, left)| **left).map(|(name, _)| name.clone());
+            told.map(|name| self.updates.remove(&name));
+        }
     }
 }
--- a/crates/fleet/src/gateway/suspicion.rs
+++ b/crates/fleet/src/gateway/suspicion.rs
@@ -23,6 +23,7 @@
 
     /// Others reach it.
     pub(super) fn cleared(&mut self, now: Moment, name: &Name) {
+        self.confirmed_alive(name);
         let Some(held) = self.table.get_mut(name) else { return };
         if held.record.state == State::Suspect {
             held.record.state = State::Alive;
--- a/crates/fleet/src/gateway/turn.rs
+++ b/crates/fleet/src/gateway/turn.rs
@@ -17,7 +17,7 @@
     pub fn due(&self) -> Moment {
         let period = self.next_period.min(self.next_call);
         let news = (!self.sweep.is_empty()).then_some(self.next_news);
-        [self.probes.due(), news].into_iter().flatten().fold(period, Moment::min)
+        [self.probes.due(), news, self.confirming_due()].into_iter().flatten().fold(period, Moment::min)
     }
 
     pub fn turn(&mut self, now: Moment) {
@@ -46,8 +46,10 @@
         for nonce in self.probes.now_due(now) {
             self.step(now, nonce);
         }
+        self.repeat_failed_probes(now);
         if self.next_call <= now {
-            self.next_call = now + Span::from_secs(self.terms.period.secs() * CALL * self.chance());
+            let wait = self.terms.period.secs() * CALL * self.rejoin_backoff();
+            self.next_call = now + Span::from_secs(wait * self.chance());
             self.rejoin(now);
         }
         if self.next_period <= now {
@@ -70,13 +72,8 @@
 
     pub(super) fn period(&mut self, now: Moment) {
         self.suspicions(now);
-        let forgotten: Vec<Name> =
-            self.table.all().filter(|held| held.known).map(|held| held.record.name.clone()).collect();
-        self.table.forget(now, self.terms.keep_gone);
-        for name in forgotten {
-            if self.table.get(&name).is_none() {
-                self.event(Event::Forgotten(name));
-            }
+        for name in self.table.forget(now, self.terms.keep_gone) {
+            self.event(Event::Forgotten(name));
         }
         self.direct_probes.retain(|name, _| self.table.get(name).is_some());
         let fleet = || self.table.fleet().map(|held| held.record.name.clone()).collect();
@@ -85,6 +82,7 @@
             self.probe(now, &name);
         }
         self.start_direct_probes(now);
+        self.probe_a_suspect(now);
         self.pull(now);
         self.stand(now);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! One word alone moves nothing: what a gateway hears of a third one counts once as many independent gateways say it as
 //! could lie, and one more, or once it has looked for itself. See docs/notes/fleet.md.
 
+mod bounds;
 pub mod engines;
 pub mod gateway;
 pub mod keys;
@@ -15,6 +16,7 @@
 pub mod terms;
 pub mod who;
 
+pub use bounds::Bounds;
 pub use engines::{EngineNews, EngineWord};
 pub use gateway::{Datagram, Event, Gateway, Tally};
 pub use keys::{KeyError, Ring};
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -41,4 +41,10 @@
     refuted: "times this gateway said that it is there",
     stood_still: "times this loop was late by more than half an answer's time",
     standings: "changes of standing",
+    confirmed: "failed probes that were repeated before anything was said, with bounds",
+    verified_later: "updates from too few witnesses that were left to others to verify first, with bounds",
+    verified_by_others: "of these, that enough witnesses settled meanwhile",
+    bounded_probes: "direct probes put off, since a period had its number",
+    bounded_gossip: "messages that carried less gossip than there was and fitted",
+    bounded_exchange: "parts of tables not asked for or not given, for want of budget",
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -73,6 +73,17 @@
         self.known && self.record.state.counts()
     }
 
+    /// Whether any witness says something worse of this life, or something newer.
+    pub fn dissent(&self) -> bool {
+        self.witnesses.values().any(|witness| self.differs(&witness.says))
+    }
+
+    /// Whether this is worse word of the life held here, or newer word.
+    pub fn differs(&self, says: &Record) -> bool {
+        says.state > State::Alive && says.life == self.record.life
+            || says.incarnation > self.record.incarnation
+    }
+
     /// Different hosts among the witnesses that this holds for; several gateways of one host are one witness.
     pub fn hosts(&self, now: Moment, that: impl Fn(&Record) -> bool) -> BTreeSet<IpAddr> {
         let fresh = |witness: &&Witness| (now - witness.at).secs() < WITNESS_S && that(&witness.says);
@@ -124,6 +135,12 @@
         self.held.get(name)
     }
 
+    /// A witness that says what is held already is not kept.
+    pub fn withdraw(&mut self, by: &Name, of: &Name) {
+        let Some(held) = self.held.get_mut(of) else { return };
+        held.witnesses.remove(by);
+    }
+
     /// Whoever may change what is in the fleet goes through here.
     pub fn get_mut(&mut self, name: &Name) -> Option<&mut Held> {
         self.view = None;
@@ -196,17 +213,25 @@
     }
 
     /// What went leaves nothing behind after `keep`, hearsay neither.
-    pub fn forget(&mut self, now: Moment, keep: Span) {
+    /// Returns the known ones among them.
+    pub fn forget(&mut self, now: Moment, keep: Span) -> Vec<Name> {
         let before = self.held.len();
-        self.held.retain(|_, held| {
+        let mut forgotten = Vec::new();
+        self.held.retain(|name, held| {
             let gone = now - held.since;
-            if held.known { held.record.state.counts() || gone < keep } else { gone.secs() < HEARSAY_S }
+            let stays =
+                if held.known { held.record.state.counts() || gone < keep } else { gone.secs() < HEARSAY_S };
+            if held.known && !stays {
+                forgotten.push(name.clone());
+            }
+            stays
         });
         if self.held.len() != before {
             self.view = None;
         }
         let stale = |witness: &Witness| (now - witness.at).secs() >= WITNESS_S;
         self.held.values_mut().for_each(|held| held.witnesses.retain(|_, witness| !stale(witness)));
+        forgotten
     }
 
     /// The fleet with this gateway in it: the same for all that hold the same gateways in the same lives, whatever the
@@ -228,6 +253,7 @@
         view
     }
 
+    /// The own record or one that was reached by `beside` changed: the view is computed anew.
     pub fn own_changed(&mut self) {
         self.view = None;
     }
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -2,6 +2,8 @@
 
 use admission::interface::Span;
 
+use crate::bounds::Bounds;
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
     /// One gateway is probed a period.
@@ -36,6 +38,8 @@
     pub hold: Span,
     /// How long news of an engine counts.
     pub news_lasts: Span,
+    /// Limits on what a large fleet sends; `None`: as it was without them.
+    pub bounds: Option<Bounds>,
 }
 
 impl Default for Terms {
@@ -57,6 +61,7 @@
             accept: Span::from_secs(120.0),
             hold: Span::from_secs(2.0),
             news_lasts: Span::from_secs(8.0),
+            bounds: None,
         }
     }
 }
--- /dev/null
+++ b/crates/fleet/tests/bounded.rs
@@ -0,0 +1,206 @@
+//! With bounds: what is repeated before it is said, and what nobody but a few verifies.
+
+use std::net::SocketAddr;
+
+use admission::interface::Moment;
+use fleet::letter::{self, Body, Letter, View};
+use fleet::{Bounds, Gateway, Name, Place, Record, Ring, State, Terms};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const KEY: [u8; 32] = [7; 32];
+const STEP_S: f64 = 0.02;
+
+fn ring() -> Ring {
+    Ring::new(&KEY, &[]).unwrap()
+}
+
+fn fleet_name() -> Name {
+    Name::new("test").unwrap()
+}
+
+fn name(number: usize) -> Name {
+    Name::new(&format!("g{number:03}")).unwrap()
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number as u8], 7946))
+}
+
+fn terms(bounds: Option<Bounds>) -> Terms {
+    Terms { bounds, ..Terms::default() }
+}
+
+/// Gateways on a network that loses a part of all datagrams; `None`: it was killed.
+struct World {
+    now: f64,
+    lost: f64,
+    all: Vec<Option<Gateway>>,
+    rng: Pcg64Mcg,
+}
+
+impl World {
+    fn new(count: usize, seed: u64, terms_of: impl Fn(usize) -> Terms) -> World {
+        let make = |number| {
+            let (place, seeds) = (Place::default(), vec![address(0), address(1)]);
+            let seed = seed * 1000 + number as u64;
+            let own = (name(number), address(number));
+            let now = Moment::from_secs(0.0);
+            Some(Gateway::new(now, fleet_name(), own.0, own.1, place, seeds, ring(), terms_of(number), seed))
+        };
+        let all = (0..count).map(make).collect();
+        World { now: 0.0, lost: 0.0, all, rng: Pcg64Mcg::seed_from_u64(seed) }
+    }
+
+    fn run(&mut self, seconds: f64) {
+        let until = self.now + seconds;
+        while self.now < until {
+            self.now += STEP_S;
+            let now = Moment::from_secs(self.now);
+            for from in 0..self.all.len() {
+                let Some(sender) = &mut self.all[from] else { continue };
+                if sender.due() <= now {
+                    sender.turn(now);
+                }
+                for datagram in sender.take_out() {
+                    let lost = self.rng.random::<f64>() < self.lost;
+                    let to = (0..self.all.len()).find(|to| address(*to) == datagram.to);
+                    let receiver = to.filter(|_| !lost).and_then(|to| self.all[to].as_mut());
+                    if let Some(receiver) = receiver {
+                        let _ = receiver.receive(now, address(from), &datagram.bytes);
+                    }
+                }
+            }
+        }
+    }
+
+    fn living(&self) -> impl Iterator<Item = &Gateway> {
+        self.all.iter().flatten()
+    }
+
+    fn agreed(&self) -> bool {
+        let living = self.living().count();
+        self.living().all(|gateway| gateway.size() == living)
+    }
+
+    /// Seconds until all agree.
+    fn settle(&mut self, within: f64) -> Option<f64> {
+        let began = self.now;
+        while self.now < began + within {
+            if self.agreed() {
+                return Some(self.now - began);
+            }
+            self.run(0.1);
+        }
+        None
+    }
+
+    fn sum(&self, of: impl Fn(&Gateway) -> u64) -> u64 {
+        self.living().map(of).sum()
+    }
+}
+
+#[test]
+fn a_third_lost_raises_few_suspicions_only_where_failed_probes_are_repeated() {
+    let suspicions = |confirmations| {
+        let bounds = Bounds { confirmations, ..Bounds::default() };
+        let mut world = World::new(24, 1, |_| terms(Some(bounds.clone())));
+        assert!(world.settle(30.0).is_some());
+        let before = world.sum(|gateway| gateway.tally.suspected);
+        world.lost = 1.0 / 3.0;
+        world.run(60.0);
+        assert_eq!(world.sum(|gateway| gateway.tally.died), 0);
+        world.sum(|gateway| gateway.tally.suspected) - before
+    };
+    let (repeated, at_once) = (suspicions(6), suspicions(0));
+    assert!(repeated <= 24, "{repeated} suspicions of 24 gateways in a minute");
+    assert!(at_once > repeated * 10, "switched off it would show: {at_once}, {repeated}");
+}
+
+#[test]
+fn three_and_sixty_start_lose_one_and_settle_by_the_same_code() {
+    for count in [3, 60] {
+        let mut world = World::new(count, 2, |_| terms(Some(Bounds::default())));
+        assert!(world.settle(60.0).is_some(), "{count} start");
+        world.run(15.0);
+        world.all[count - 1] = None;
+        assert!(world.settle(60.0).is_some(), "{count}, one dead");
+        assert_eq!(world.sum(|gateway| gateway.tally.revived), 0, "{count}");
+    }
+}
+
+#[test]
+fn gateways_with_bounds_and_without_understand_each_other() {
+    let mut world = World::new(40, 3, |number| terms((number % 2 == 0).then(Bounds::default)));
+    assert!(world.settle(60.0).is_some(), "start");
+    world.run(15.0);
+    (10..15).for_each(|number| world.all[number] = None);
+    assert!(world.settle(60.0).is_some(), "five dead");
+    world.lost = 1.0 / 3.0;
+    world.run(60.0);
+    world.lost = 0.0;
+    assert!(world.settle(60.0).is_some(), "after a third was lost");
+}
+
+/// A message of one gateway, made by hand, with a record beside it.
+fn told(by: &Record, counter: u64, of: Record) -> Vec<u8> {
+    let (fleet, from, view) = (fleet_name(), by.clone(), View::default());
+    let message = Letter { fleet, from, counter, view, body: Body::News, records: vec![of], engines: vec![] };
+    letter::seal(&ring(), &message)
+}
+
+#[test]
+fn of_all_that_hear_one_witness_only_some_probe_at_once() {
+    let probing = |bounds: Option<Bounds>| {
+        let mut world = World::new(40, 4, |_| terms(bounds.clone()));
+        assert!(world.settle(60.0).is_some());
+        world.run(60.0);
+        let witness = world.all[5].as_ref().unwrap().own().clone();
+        let subject = world.all[6].as_ref().unwrap().own().clone();
+        let now = Moment::from_secs(world.now);
+        let before = world.sum(|gateway| gateway.tally.probes);
+        for gateway in world.all.iter_mut().flatten().filter(|gateway| gateway.own().name != witness.name) {
+            let suspect = Record { state: State::Suspect, ..subject.clone() };
+            gateway.receive(now, witness.address, &told(&witness, 1 << 40, suspect)).unwrap();
+        }
+        world.run(2.0);
+        world.sum(|gateway| gateway.tally.probes) - before
+    };
+    // 40 gateways probe some 80 in two seconds; each that verifies adds one.
+    let (few, all) = (probing(Some(Bounds::default())), probing(None));
+    assert!(few + 15 < all, "{few} probes with bounds, {all} without");
+}
+
+#[test]
+fn gossip_and_table_pages_keep_to_their_bytes() {
+    let bytes = |bounds: Option<Bounds>| {
+        let mut world = World::new(60, 5, |_| terms(bounds.clone()));
+        assert!(world.settle(60.0).is_some());
+        world.run(60.0);
+        let before = world.sum(|gateway| gateway.tally.sent_bytes);
+        world.run(60.0);
+        (world.sum(|gateway| gateway.tally.sent_bytes) - before) as f64 / 60.0 / 60.0
+    };
+    let (bounded, plain) = (bytes(Some(Bounds::default())), bytes(None));
+    // Equal views exchange no tables.
+    assert!(bounded < 600.0 && bounded < plain * 0.8, "{bounded} bytes a second at rest, {plain} without");
+    let mut world =
+        World::new(60, 6, |_| terms(Some(Bounds { gossip_bytes_per_s: 200.0, ..Bounds::default() })));
+    assert!(world.settle(200.0).is_some(), "a narrow budget delays, no more");
+    assert!(world.sum(|gateway| gateway.tally.bounded_gossip) > 0);
+}
+
+#[test]
+fn who_is_cut_off_keeps_its_table_and_knows_how_old_it_is() {
+    let mut world = World::new(5, 7, |_| terms(Some(Bounds::default())));
+    assert!(world.settle(30.0).is_some());
+    world.run(15.0);
+    assert_eq!(world.all[0].as_ref().unwrap().standing().name(), "together");
+    let at = Moment::from_secs(world.now);
+    (1..5).for_each(|number| world.all[number] = None);
+    world.run(90.0);
+    let left = world.all[0].as_ref().unwrap();
+    let heard = left.last_heard().expect("it heard of others");
+    assert!((heard - at).secs().abs() < 3.0);
+    assert_eq!((left.table_len(), left.standing().name()), (4, "cut off"));
+}
--- a/crates/fleet/tests/hostile.rs
+++ b/crates/fleet/tests/hostile.rs
@@ -4,7 +4,7 @@
 
 use admission::interface::{Moment, Span};
 use fleet::letter::{self, Body, Letter, Nonce, View};
-use fleet::{Gateway, Incarnation, Life, Name, Place, Record, Refused, Ring, State, Terms};
+use fleet::{Bounds, Gateway, Incarnation, Life, Name, Place, Record, Refused, Ring, State, Terms};
 use quickcheck::{QuickCheck, TestResult};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -139,8 +139,12 @@
 
 /// One that holds the key says anything: four honest ones stay together, bounded, and hold each other.
 fn liars_day(seed: u64) -> TestResult {
+    liars_day_with(seed, None)
+}
+
+fn liars_day_with(seed: u64, bounds: Option<Bounds>) -> TestResult {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let terms = Terms { most: 40, ..Terms::default() };
+    let terms = Terms { most: 40, bounds, ..Terms::default() };
     let mut all: Vec<Gateway> = (1..=4).map(|number| gateway(number, terms.clone())).collect();
     // The liar is a gateway too: known, and heard.
     all.push(gateway(5, terms));
@@ -200,6 +204,12 @@
     QuickCheck::new().tests(30).quickcheck(liars_day as fn(u64) -> TestResult);
 }
 
+#[test]
+fn one_liar_among_five_takes_nobody_off_with_bounds_either() {
+    let holds = |seed| liars_day_with(seed, Some(Bounds::default()));
+    QuickCheck::new().tests(30).quickcheck(holds as fn(u64) -> TestResult);
+}
+
 #[test]
 fn the_same_lies_by_two_of_two_needed_take_effect() {
     // What liars_day would miss if nothing ever counted: two that agree are believed, until it is refuted.
--- a/crates/fleet/tests/life.rs
+++ b/crates/fleet/tests/life.rs
@@ -6,13 +6,15 @@
 
 use admission::interface::Moment;
 use fleet::letter;
-use fleet::{Gateway, Name, Place, Ring, Terms};
+use fleet::{Bounds, Gateway, Name, Place, Ring, Terms};
 use stateright::{Checker, Model, Property};
 
 const KEY: [u8; 32] = [7; 32];
 const STEP_S: f64 = 0.05;
 /// Longer than it takes three to hold a silent one for dead.
 const PHASE_S: f64 = 9.0;
+/// The same with bounds, where a failed probe is repeated first.
+const BOUNDED_PHASE_S: f64 = 16.0;
 /// Two calls to those that had gone, and time to tell.
 const WELL_S: f64 = 25.0;
 
@@ -51,7 +53,7 @@
     SocketAddr::from(([10, 0, 0, number as u8], 7946))
 }
 
-fn gateway(number: usize, now: f64, life: u64) -> Gateway {
+fn gateway(number: usize, now: f64, life: u64, bounded: bool) -> Gateway {
     let (fleet, ring) = (Name::new("test").unwrap(), Ring::new(&KEY, &[]).unwrap());
     let name = Name::new(&format!("g{number}")).unwrap();
     let seeds = vec![at(1), at(2)];
@@ -64,7 +66,7 @@
         Place::default(),
         seeds,
         ring,
-        Terms::default(),
+        Terms { bounds: bounded.then(Bounds::default), ..Terms::default() },
         seed,
     )
 }
@@ -78,12 +80,13 @@
     life: u64,
     /// The seeded fault: what the first says once it has refuted is lost.
     refutes: bool,
+    bounded: bool,
 }
 
 impl World {
-    fn new(refutes: bool) -> World {
-        let all = (0..3).map(|number| gateway(number, 0.0, 0)).collect();
-        let mut world = World { now: 0.0, all, later: Vec::new(), life: 0, refutes };
+    fn new(refutes: bool, bounded: bool) -> World {
+        let all = (0..3).map(|number| gateway(number, 0.0, 0, bounded)).collect();
+        let mut world = World { now: 0.0, all, later: Vec::new(), life: 0, refutes, bounded };
         world.run(Phase::Well, 15.0);
         world
     }
@@ -91,7 +94,7 @@
     fn run(&mut self, phase: Phase, lasts: f64) {
         if phase == Phase::Restarted {
             self.life += 1;
-            self.all[0] = gateway(0, self.now, self.life);
+            self.all[0] = gateway(0, self.now, self.life, self.bounded);
         }
         for (from, to, bytes) in std::mem::take(&mut self.later) {
             let _ = self.all[to].receive(Moment::from_secs(self.now), at(from), &bytes);
@@ -169,6 +172,7 @@
 
 struct Lives {
     refutes: bool,
+    bounded: bool,
     phases: usize,
 }
 
@@ -177,7 +181,7 @@
     type Action = Phase;
 
     fn init_states(&self) -> Vec<State> {
-        vec![State { phases: Vec::new(), world: World::new(self.refutes) }]
+        vec![State { phases: Vec::new(), world: World::new(self.refutes, self.bounded) }]
     }
 
     fn actions(&self, state: &State, actions: &mut Vec<Phase>) {
@@ -189,7 +193,7 @@
     fn next_state(&self, last: &State, phase: Phase) -> Option<State> {
         let mut state = last.clone();
         state.phases.push(phase);
-        state.world.run(phase, PHASE_S);
+        state.world.run(phase, if self.bounded { BOUNDED_PHASE_S } else { PHASE_S });
         Some(state)
     }
 
@@ -212,7 +216,11 @@
 }
 
 fn search(refutes: bool, phases: usize) -> (usize, bool) {
-    let checker = Lives { refutes, phases }.checker().threads(4).spawn_bfs().join();
+    search_with(refutes, phases, false)
+}
+
+fn search_with(refutes: bool, phases: usize, bounded: bool) -> (usize, bool) {
+    let checker = Lives { refutes, bounded, phases }.checker().threads(4).spawn_bfs().join();
     if refutes {
         checker.assert_properties();
     }
@@ -225,6 +233,11 @@
     assert_eq!(search(true, 4), (1 + 8 + 64 + 512 + 4096, false));
 }
 
+#[test]
+fn in_every_order_of_three_troubles_nobody_stays_dead_with_bounds_either() {
+    assert_eq!(search_with(true, 3, true), (1 + 8 + 64 + 512, false));
+}
+
 #[test]
 fn the_search_finds_a_refutation_that_is_dropped() {
     assert!(search(false, 2).1);
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -175,6 +175,16 @@
             paces.helpers,
             paces.voices()
         );
+        if let Some(bounds) = &paces.bounds {
+            println!(
+                "  bounded: {} confirmations, {} verifiers, {} direct probes a period, {} bytes a second of gossip and {} of tables",
+                bounds.confirmations,
+                bounds.verifiers,
+                bounds.direct_probes,
+                bounds.gossip_bytes_per_s,
+                bounds.exchange_bytes_per_s
+            );
+        }
     }
     if let Some(terms) = &operated.shares {
         let voters: Vec<&str> = terms.voters.iter().map(|name| name.as_str()).collect();
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -341,6 +341,12 @@
     let file = |ending: &str| fleet.folder().join(format!("g00.{ending}")).display().to_string();
     let check = String::from_utf8(run(&["check", "--operator", &file("hcl"), &file("json")]).stdout).unwrap();
     assert!(check.contains("fleet rig is on") && check.contains("hearsay counts from 2"), "{check}");
+    assert!(!check.contains("bounded:"), "off unless set: {check}");
+    let block = std::fs::read_to_string(file("hcl")).unwrap();
+    let bounded = fleet.folder().join("bounded.hcl").display().to_string();
+    std::fs::write(&bounded, block.replacen("fleet {", "fleet {\n  bounded = true", 1)).unwrap();
+    let check = String::from_utf8(run(&["check", "--operator", &bounded, &file("json")]).stdout).unwrap();
+    assert!(check.contains("bounded: 6 confirmations, 4 verifiers, 8 direct probes"), "{check}");
     // Off: no socket, and no word of it.
     let mut wanted = Wanted::new(PROGRAM, 1);
     wanted.fleet = false;
--- /dev/null
+++ b/crates/lab/examples/membership.rs
@@ -0,0 +1,121 @@
+//! What membership sends and how soon it settles, in simulated time: `membership GATEWAYS bounded|plain|mixed CASE...`.
+
+use std::time::Instant;
+
+use fleet::{Bounds, Gateway, Name, Place, Ring, Terms};
+use lab::mesh::{KEY, Mesh, address, name};
+
+const SEED: u64 = 61;
+
+fn fleet_of(count: usize, mode: &str) -> Mesh<Gateway> {
+    let mode = mode.to_owned();
+    let ring = Ring::new(&KEY, &[]).expect("one key");
+    Mesh::new(count, SEED, move |at, now, life| {
+        let bounded = mode == "bounded" || mode == "mixed" && at % 2 == 0;
+        let terms = Terms { most: 4096, bounds: bounded.then(Bounds::default), ..Terms::default() };
+        let named = |text: String| Some(Name::new(&text).expect("a name"));
+        let place =
+            Place { zone: named(format!("zone-{}", at % 8)), region: named(format!("region-{}", at % 4)) };
+        let seeds = (0..3.min(count)).map(address).collect();
+        let (fleet, seed) =
+            (Name::new("lab").expect("a name"), SEED * 1_000_003 + at as u64 * 64 + u64::from(life));
+        Gateway::new(now, fleet, name(at), address(at), place, seeds, ring.clone(), terms, seed)
+    })
+}
+
+/// Sent by one gateway a second over some time: datagrams and bytes, the mean and the most.
+fn traffic(mesh: &mut Mesh<Gateway>, what: &str, seconds: f64) {
+    let (before, from) = (mesh.sent.clone(), mesh.now);
+    mesh.run(from + seconds);
+    let spent: Vec<(u64, u64)> = mesh
+        .sent
+        .iter()
+        .zip(&before)
+        .map(|(after, before)| (after.0 - before.0, after.1 - before.1))
+        .collect();
+    let per = seconds * mesh.lives().len().max(1) as f64;
+    let (datagrams, bytes) = spent.iter().fold((0, 0), |sum, of| (sum.0 + of.0, sum.1 + of.1));
+    let most = spent.iter().map(|of| of.1).max().unwrap_or(0);
+    println!(
+        "  {what}: over {seconds} s, a gateway sends {:.1} datagrams and {:.0} bytes a second, the most {:.0}; false deaths {}",
+        datagrams as f64 / per,
+        bytes as f64 / per,
+        most as f64 / seconds,
+        mesh.false_deaths()
+    );
+}
+
+fn settle(mesh: &mut Mesh<Gateway>, what: &str, within: f64) {
+    let (from, before) = (mesh.now, mesh.sent.clone());
+    let settled = mesh.settle(within);
+    let seconds = (mesh.now - from).max(0.1);
+    let sent = |at: usize| (mesh.sent[at].1 - before[at].1) as f64 / seconds;
+    let mean = (0..mesh.len()).map(sent).sum::<f64>() / mesh.lives().len().max(1) as f64;
+    let most = (0..mesh.len()).map(sent).fold(0.0, f64::max);
+    let sizes: Vec<usize> = mesh.lives().iter().map(|at| mesh.peer(*at).map_or(0, Gateway::size)).collect();
+    let (least, largest) = (sizes.iter().min().unwrap_or(&0), sizes.iter().max().unwrap_or(&0));
+    println!(
+        "  {what}: settled {settled:?} s; sizes {least} to {largest}; meanwhile {mean:.0} bytes a second each, the most {most:.0}; false deaths {}",
+        mesh.false_deaths()
+    );
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let count: usize = arguments[0].parse().expect("how many");
+    let mode = arguments[1].as_str();
+    let began = Instant::now();
+    println!("{count} gateways, {mode}");
+    let mut mesh = fleet_of(count, mode);
+    for at in 0..count {
+        mesh.run(at as f64 / count as f64);
+        mesh.start(at);
+    }
+    for case in &arguments[2..] {
+        match case.as_str() {
+            "start" => settle(&mut mesh, "all starting in one second", 300.0),
+            "quiet" => mesh.run(mesh.now + 120.0),
+            "rest" => traffic(&mut mesh, "at rest", 30.0),
+            "lost" => {
+                mesh.faults.lost = 1.0 / 3.0;
+                traffic(&mut mesh, "a third lost, first minute", 60.0);
+                traffic(&mut mesh, "a third lost, second minute", 60.0);
+                mesh.faults.lost = 0.0;
+                settle(&mut mesh, "after it", 120.0);
+            }
+            "one" | "rack" => {
+                let (deaths, killed) = (mesh.deaths.len(), if case == "one" { 1 } else { 40.min(count / 4) });
+                let alive: Vec<usize> = mesh.lives().into_iter().filter(|at| *at >= 3).take(killed).collect();
+                let killed_at = mesh.now;
+                alive.iter().for_each(|at| mesh.kill(*at));
+                settle(&mut mesh, &format!("{killed} dead"), 120.0);
+                let mut times: Vec<f64> =
+                    mesh.deaths[deaths..].iter().map(|death| death.at - killed_at).collect();
+                times.sort_by(f64::total_cmp);
+                let at =
+                    |part: f64| times.get((times.len() as f64 * part) as usize).copied().unwrap_or(f64::NAN);
+                println!(
+                    "    {} held for dead: the first after {:.1} s, half after {:.1}, 99 of 100 after {:.1}",
+                    times.len(),
+                    at(0.0),
+                    at(0.5),
+                    at(0.99)
+                );
+                alive.iter().for_each(|at| mesh.start(*at));
+                settle(&mut mesh, "started again", 120.0);
+            }
+            "halves" => {
+                mesh.cut(|a, b| a % 2 != b % 2);
+                traffic(&mut mesh, "two halves apart", 120.0);
+                mesh.heal();
+                settle(&mut mesh, "together again", 300.0);
+            }
+            other => panic!("no such case: {other}"),
+        }
+        eprintln!("  ({case}: {:.1} s of the clock so far)", began.elapsed().as_secs_f64());
+    }
+    for (counter, value) in mesh.peer(count / 2).into_iter().flat_map(|peer| peer.tally.each()) {
+        print!("{counter}={value} ");
+    }
+    println!();
+}
--- a/crates/operator/src/fleet_block.rs
+++ b/crates/operator/src/fleet_block.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use admission::interface::Span;
-use fleet::{Name, Place, Terms};
+use fleet::{Bounds, Name, Place, Terms};
 use serde::Deserialize;
 
 use crate::{Fault, fault, yes};
@@ -36,6 +36,14 @@
     accept_ms: Option<f64>,
     hold_ms: Option<f64>,
     news_lasts_ms: Option<f64>,
+    /// Limits on what a large fleet sends; the five below stand with it only.
+    #[serde(default)]
+    bounded: bool,
+    confirmations: Option<f64>,
+    verifiers: Option<f64>,
+    direct_probes: Option<f64>,
+    gossip_bytes_per_s: Option<f64>,
+    exchange_bytes_per_s: Option<f64>,
 }
 
 /// How gateways know each other, checked.
@@ -57,12 +65,6 @@
     /// # Errors
     /// A field that cannot be used.
     pub fn terms(self) -> Result<Option<FleetTerms>, Fault> {
-        let within = |name: &str, value: Option<f64>, default: f64, least: f64, most: f64| {
-            let value = value.unwrap_or(default);
-            let usable = (least..=most).contains(&value);
-            let why = || fault(&["fleet", name], format!("{value} is not between {least} and {most}"));
-            if usable { Ok(value) } else { Err(why()) }
-        };
         let span = |name, value, default: Span, least, most| {
             within(name, value, default.secs() * 1e3, least, most).map(|ms| Span::from_secs(ms / 1e3))
         };
@@ -94,6 +96,7 @@
             accept: span("accept_ms", self.accept_ms, plain.accept, 1000.0, 8.64e7)?,
             hold: span("hold_ms", self.hold_ms, plain.hold, 0.0, 600_000.0)?,
             news_lasts: span("news_lasts_ms", self.news_lasts_ms, plain.news_lasts, 100.0, 600_000.0)?,
+            bounds: self.bounds()?,
             ..plain
         };
         let terms = FleetTerms {
@@ -108,4 +111,38 @@
         };
         Ok(self.enabled.then_some(terms))
     }
+
+    fn bounds(&self) -> Result<Option<Bounds>, Fault> {
+        let given = [
+            ("confirmations", self.confirmations),
+            ("verifiers", self.verifiers),
+            ("direct_probes", self.direct_probes),
+            ("gossip_bytes_per_s", self.gossip_bytes_per_s),
+            ("exchange_bytes_per_s", self.exchange_bytes_per_s),
+        ];
+        if !self.bounded {
+            let first = given.iter().find(|(_, value)| value.is_some());
+            let needs = |(name, _): &(&str, _)| Err(fault(&["fleet", name], "it needs bounded = true"));
+            return first.map_or(Ok(None), needs);
+        }
+        let [confirmations, verifiers, direct_probes, gossip, exchange] = given;
+        let plain = Bounds::default();
+        let count = |(name, value), default: usize, least, most| {
+            within(name, value, default as f64, least, most).map(|value| value as usize)
+        };
+        Ok(Some(Bounds {
+            confirmations: count(confirmations, plain.confirmations, 0.0, 20.0)?,
+            verifiers: count(verifiers, plain.verifiers, 1.0, 64.0)?,
+            direct_probes: count(direct_probes, plain.direct_probes, 1.0, 256.0)?,
+            gossip_bytes_per_s: within(gossip.0, gossip.1, plain.gossip_bytes_per_s, 200.0, 1e6)?,
+            exchange_bytes_per_s: within(exchange.0, exchange.1, plain.exchange_bytes_per_s, 100.0, 1e6)?,
+        }))
+    }
+}
+
+/// A value of the block, or its default; refused outside its range.
+fn within(name: &str, value: Option<f64>, default: f64, least: f64, most: f64) -> Result<f64, Fault> {
+    let value = value.unwrap_or(default);
+    let why = || fault(&["fleet", name], format!("{value} is not between {least} and {most}"));
+    if (least..=most).contains(&value) { Ok(value) } else { Err(why()) }
 }
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -114,6 +114,41 @@
 }
 "#;
 
+#[test]
+fn bounds_of_the_fleet_are_off_until_set_and_checked() {
+    let with = |lines: &str| {
+        DIVIDED.replacen("  keys_folder = \"k\"\n", &format!("  keys_folder = \"k\"\n{lines}"), 1)
+    };
+    let bounds = |lines: &str| {
+        let text = GOOD.to_owned() + &with(lines);
+        Operator::parse(Path::new("site.hcl"), &text).unwrap().fleet.unwrap().paces.bounds
+    };
+    assert_eq!(bounds(""), None);
+    assert_eq!(bounds("  bounded = false\n"), None);
+    assert_eq!(bounds("  bounded = true\n"), Some(fleet::Bounds::default()));
+    let set = bounds("  bounded = true\n  confirmations = 3\n  gossip_bytes_per_s = 900\n").unwrap();
+    assert_eq!((set.confirmations, set.gossip_bytes_per_s), (3, 900.0));
+    for (lines, want) in [
+        ("  verifiers = 4\n", "site.hcl:6: fleet.verifiers: it needs bounded = true"),
+        (
+            "  bounded = true\n  confirmations = 21\n",
+            "site.hcl:7: fleet.confirmations: 21 is not between 0 and 20",
+        ),
+        (
+            "  bounded = true\n  direct_probes = 0\n",
+            "site.hcl:7: fleet.direct_probes: 0 is not between 1 and 256",
+        ),
+        (
+            "  bounded = true\n  exchange_bytes_per_s = 5\n",
+            "site.hcl:7: fleet.exchange_bytes_per_s: 5 is not between",
+        ),
+        ("  bounds = true\n", "site.hcl:6: fleet.bounds: unknown field"),
+    ] {
+        let got = error(&with(lines));
+        assert!(got.starts_with(want) && !got.contains('\n'), "{got}, not {want}");
+    }
+}
+
 #[test]
 fn divided_budgets_take_the_members_and_are_checked() {
     let operator = Operator::parse(Path::new("site.hcl"), &(GOOD.to_owned() + DIVIDED)).unwrap();
