--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -13,8 +13,7 @@
 
 impl Clock {
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { unix, at: Instant::now() }
+        Clock { unix: since_epoch(), at: Instant::now() }
     }
 
     pub fn now(&self) -> Moment {
@@ -33,6 +32,15 @@
     }
 }
 
+/// The Unix time as the machine tells it now, for what other machines dated: it may step, and is no measure of spans.
+pub fn unix() -> Moment {
+    Moment::from_secs(since_epoch().as_secs_f64())
+}
+
+fn since_epoch() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 /// See [`Clock::steady`].
 pub fn steady() -> Moment {
     let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -18,7 +18,7 @@
 
 use crate::board::Board;
 use crate::clients::Clients;
-use crate::clock::Clock;
+use crate::clock::{Clock, unix};
 use crate::config::{Config, Operated};
 use crate::engines::Engines;
 use crate::fleet::parts::Parts;
@@ -162,8 +162,8 @@
         service.told(now, &std::mem::take(&mut config.known.events));
         if let Some(callers) = &operated.callers {
             let known = keywatch::read(callers)?;
-            let mut guard = Guard::new(now, callers.terms);
-            guard.take(now, &known.files.index, &known.files.public, known.files.revoked)?;
+            let mut guard = Guard::new(unix(), callers.terms);
+            guard.take(unix(), &known.files.index, &known.files.public, known.files.revoked)?;
             info!(keys = known.files.index.keys.len(), "callers are to be known");
             service.guard(guard);
             service.clients.secure(known.tls);
@@ -235,7 +235,7 @@
             counters.turns += 1;
             counters.late_turns += u64::from((now - due).secs() > 0.005);
             std::mem::take(&mut ready.signals).into_iter().for_each(|signal| self.signal(now, signal));
-            std::mem::take(&mut ready.known).into_iter().for_each(|known| self.known(now, known));
+            std::mem::take(&mut ready.known).into_iter().for_each(|known| self.known(known));
             for peer in std::mem::take(&mut ready.peers) {
                 self.ready(now, peer);
             }
@@ -352,12 +352,12 @@
     }
 
     /// Changed key files and certificates, whole or not at all: the last good ones stand.
-    fn known(&mut self, now: Moment, known: Result<Known, WatchError>) {
+    fn known(&mut self, known: Result<Known, WatchError>) {
         let refused = match known {
             Err(error) => Some(error.to_string()),
             Ok(Known { files, tls }) => {
                 let guard = self.service.guarded();
-                let taken = guard.map(|guard| guard.take(now, &files.index, &files.public, files.revoked));
+                let taken = guard.map(|guard| guard.take(unix(), &files.index, &files.public, files.revoked));
                 let refused = taken.and_then(Result::err).map(|error| error.to_string());
                 if refused.is_none() {
                     self.service.clients.secure(tls);
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -20,6 +20,7 @@
 use crate::board::{Board, Event};
 use crate::clients::packets::Answer;
 use crate::clients::{self, Clients, comment};
+use crate::clock::unix;
 use crate::counters::Counters;
 use crate::engines::lines::{Rid, Tags};
 use crate::engines::{Engines, Outgoing, Report};
@@ -470,7 +471,7 @@
     fn judge(&mut self, now: Moment, session: u32, token: &Rc<str>, login: bool) {
         let Some(guard) = &mut self.guard else { return };
         let counters = &mut self.counters;
-        let (code, state, text) = match guard.verdict(now, token) {
+        let (code, state, text) = match guard.verdict(unix(), token) {
             Judged::Granted { claims, .. } if claims.grant.allows_from(self.clients.from(session)) => {
                 counters.tokens_granted += 1;
                 return self.clients.known(now, session, token.clone(), counters);
@@ -497,12 +498,12 @@
     }
 
     /// Whose a statement is by its session's token, which is judged anew each time.
-    fn caller(&mut self, now: Moment, session: u32) -> Result<Option<Arc<Claims>>, Unusable> {
+    fn caller(&mut self, session: u32) -> Result<Option<Arc<Claims>>, Unusable> {
         let Some(guard) = &mut self.guard else { return Ok(None) };
         let Some(token) = self.clients.token(session) else {
             return Err(Unusable::Unknown("no token".into()));
         };
-        match guard.verdict(now, &token) {
+        match guard.verdict(unix(), &token) {
             Judged::Granted { claims, .. } => Ok(Some(claims)),
             Judged::Later { back } => {
                 self.counters.tokens_later += 1;
@@ -553,7 +554,7 @@
             self.counters.client_left += 1;
             return;
         }
-        let wanted = self.caller(now, session).and_then(|claims| {
+        let wanted = self.caller(session).and_then(|claims| {
             let (wants, rid, tags, statement, desk) = self.wants(text, from, claims.as_deref())?;
             let wants = Wants { budget: wants.budget - waited, ..wants };
             Ok((wants, rid, tags, statement, desk, claims.map(|claims| claims.caller.clone())))
