gateway: service.rs split by job: intake, attempts, endings, callers, what is shown

Nothing decides otherwise. Measured: tests of the gateway, 7 files, pass (connections, endings, process, sockets, queues, shares, identity).

--- /dev/null
+++ b/crates/gateway/src/service/callers.rs
@@ -0,0 +1,75 @@
+//! Who a session is: tokens at login and later, judged anew for each statement.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use admission::interface::Moment;
+use identity::grants::Beyond;
+use identity::token::Claims;
+use identity::{Guard, Verdict as Judged};
+
+use super::Service;
+use super::endings::denial;
+use super::intake::Unusable;
+use crate::clients::packets::Answer;
+use crate::clock::unix;
+
+impl Service {
+    /// Callers are to be known from now on, by this.
+    pub fn guard(&mut self, guard: Guard) {
+        self.guard = Some(guard);
+    }
+
+    pub fn guarded(&mut self) -> Option<&mut Guard> {
+        self.guard.as_mut()
+    }
+
+    /// A token at login or later: only one that holds now replaces what stood.
+    pub(super) fn judge(&mut self, now: Moment, session: u32, token: &Rc<str>, login: bool) {
+        let Some(guard) = &mut self.guard else { return };
+        let counters = &mut self.counters;
+        let (code, state, text) = match guard.verdict(unix(), token) {
+            Judged::Granted { claims, .. } if claims.grant.allows_from(self.clients.from(session)) => {
+                counters.tokens_granted += 1;
+                return self.clients.known(now, session, token.clone(), counters);
+            }
+            Judged::Granted { .. } => {
+                counters.tokens_refused += 1;
+                (1045, b"28000", Beyond::Network.to_string())
+            }
+            Judged::Later { back } => {
+                counters.tokens_later += 1;
+                (1226, b"42000", denial(Some(back)))
+            }
+            Judged::Refused(why) => {
+                counters.tokens_refused += 1;
+                (1045, b"28000", why.to_string())
+            }
+        };
+        let answer = |answer: Answer| answer.error(code, state, &text);
+        if login {
+            self.clients.unknown(now, session, counters, answer);
+        } else {
+            self.clients.answer(now, session, counters, answer);
+        }
+    }
+
+    /// Whose a statement is by its session's token, which is judged anew each time.
+    pub(super) fn caller(&mut self, session: u32) -> Result<Option<Arc<Claims>>, Unusable> {
+        let Some(guard) = &mut self.guard else { return Ok(None) };
+        let Some(token) = self.clients.token(session) else {
+            return Err(Unusable::Unknown("no token".into()));
+        };
+        match guard.verdict(unix(), &token) {
+            Judged::Granted { claims, .. } => Ok(Some(claims)),
+            Judged::Later { back } => {
+                self.counters.tokens_later += 1;
+                Err(Unusable::Later(back))
+            }
+            Judged::Refused(why) => {
+                self.counters.tokens_refused += 1;
+                Err(Unusable::Unknown(why.to_string()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/service/mod.rs
@@ -0,0 +1,274 @@
+//! What ties the peers together: client news to `pick`, engine reports to `report`, and a `tick` once all
+//! that is ready was read. It passes on; it decides nothing. The struct stands here; each module beside it holds one job of it.
+
+mod attempts;
+mod callers;
+mod endings;
+mod intake;
+mod shown;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use admission::interface::*;
+use bytes::Bytes;
+use dispatch::Dispatch;
+use identity::Guard;
+use queues::{Directory, Hall, Lines, Terms};
+use settings::{Settings, SettingsError, Way};
+use tracing::{info, warn};
+
+use crate::board::list::Names;
+use crate::board::{Board, Event};
+use crate::clients::Clients;
+use crate::counters::Counters;
+use crate::engines::Engines;
+use crate::engines::lines::{Rid, Tags};
+use crate::fleet::Fleet;
+use crate::fleet::parts::Flow;
+
+/// Network fact: the longest time that what has left is on its way to an engine.
+pub const WAY: Way = Way(Span::from_micros(50_000));
+/// How long after its hard limit a statement may still be without the decisions' answer, within its budget.
+const OVERDUE_S: f64 = 0.004;
+/// How often those that wait are told of their progress, where their client takes it.
+const PROGRESS_S: f64 = 1.0;
+/// How often what the decisions hold is compared with the sockets: far below what a difference could do harm in.
+const CHECK_S: f64 = 0.5;
+
+/// A statement from its reading to its answer and the end of its last attempt; the text is dropped with the answer.
+struct InFlight {
+    session: u32,
+    rid: Rid,
+    /// Whose it is, where callers are known.
+    caller: Option<String>,
+    product: usize,
+    tags: Tags,
+    text: Bytes,
+    answered: bool,
+    taken: Moment,
+    /// When it is answered by whatever stands here, if by nothing else.
+    ends: Moment,
+    /// One, where a statement may not have two out at the same time.
+    out: Vec<RelayNo>,
+    /// The connections that its attempts went on, as many as attempts.
+    went_on: Vec<u64>,
+}
+
+pub struct Service {
+    pub clients: Clients,
+    pub engines: Engines,
+    pub board: Board,
+    pub counters: Counters,
+    hall: Hall,
+    /// Where there are lines: whose desk a statement waits at.
+    directory: Option<Directory>,
+    /// Where gateways know each other.
+    fleet: Option<Fleet>,
+    /// Where callers are to be known.
+    guard: Option<Guard>,
+    /// Statements open by caller; leaves with the last of them.
+    open: BTreeMap<String, u32>,
+    names: Names,
+    peers: f64,
+    products: Vec<String>,
+    tenants: Vec<String>,
+    bills: bool,
+    most_open: usize,
+    next: u64,
+    in_flight: BTreeMap<StatementId, InFlight>,
+    /// Their ids as clients gave them: of two with one id an engine's answer could be for either.
+    rids: BTreeMap<Rid, StatementId>,
+    /// Ends of all statements not answered yet; leaves with the answer or the client.
+    ends: BTreeSet<(Moment, StatementId)>,
+    wake: Moment,
+    check: Moment,
+    progress: Moment,
+    answer_by: Option<Moment>,
+    /// A whole list was told: there is something to decide on.
+    listed: bool,
+}
+
+impl Service {
+    pub fn new(
+        now: Moment,
+        settings: &Settings,
+        seed: u64,
+        clients: Clients,
+        engines: Engines,
+        board: Board,
+        terms: Option<&Terms>,
+    ) -> Result<Self, SettingsError> {
+        let (directory, products) = (terms.map(Directory::new), settings.products());
+        let lines = terms.map(|terms| Lines::new(now, terms.clone(), products, seed));
+        Ok(Service {
+            clients,
+            engines,
+            board,
+            counters: Counters::default(),
+            hall: Hall::new(Dispatch::new(settings.policy(seed, WAY)?), lines),
+            directory,
+            fleet: None,
+            guard: None,
+            open: BTreeMap::new(),
+            names: Names::new(settings.location_names(), settings.machine_names()),
+            peers: settings.peers()?,
+            products: settings.product_names()?,
+            tenants: settings.tenant_names()?,
+            bills: settings.bills()?,
+            most_open: settings.most_open()?,
+            next: 0,
+            in_flight: BTreeMap::new(),
+            rids: BTreeMap::new(),
+            ends: BTreeSet::new(),
+            wake: now,
+            check: now,
+            progress: now,
+            answer_by: None,
+            listed: false,
+        })
+    }
+
+    pub fn told(&mut self, now: Moment, events: &[Event]) {
+        for change in events.iter().filter_map(|event| event.list.as_ref()) {
+            let told = self.names.told(change);
+            info!(whole = change.whole, engines = change.targets.len(), "list");
+            told.addresses.into_iter().for_each(|(id, address)| self.engines.listed(id, address));
+            self.hall.told_list(now, &told.news);
+            told.closed.into_iter().for_each(|id| self.engines.closed(now, id, &mut self.counters));
+            self.listed |= change.whole;
+        }
+    }
+
+    /// Other terms for what waits, in the file's own budgets as this gateway's part.
+    pub fn change(&mut self, now: Moment, terms: &Terms) {
+        self.directory = Some(Directory::new(terms));
+        self.hall.change(now, terms.clone());
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.hall.waiting()
+    }
+
+    /// The lines keep their own count.
+    pub fn count(&mut self) {
+        let (tally, counters) = (self.hall.tally(), &mut self.counters);
+        counters.queue_entered = tally.entered;
+        counters.queue_turned_away = tally.turned_away;
+        counters.queue_displaced = tally.displaced;
+        counters.queue_released = tally.released;
+        counters.queue_denied = tally.denied;
+        counters.queue_left = tally.left;
+        counters.queue_refused = tally.refused;
+        counters.queue_told_well = tally.told_well;
+        counters.queue_longest_passed_ms = (self.hall.longest_passed().secs() * 1e3) as u64;
+    }
+
+    pub fn can_decide(&self) -> bool {
+        self.listed
+    }
+
+    /// The gateway ends: all that is in hand, and all that still comes, is answered by then.
+    pub fn answer_by(&mut self, by: Moment) {
+        self.answer_by = Some(by);
+        let last = by + Span::from_secs(OVERDUE_S);
+        self.in_flight.values_mut().for_each(|in_flight| in_flight.ends = in_flight.ends.min(last));
+        self.ends = std::mem::take(&mut self.ends).into_iter().map(|(end, id)| (end.min(last), id)).collect();
+        self.hall.answer_by(by);
+        self.engines.end_by(by);
+    }
+
+    /// Nothing is owed to anyone.
+    pub fn quiet(&self) -> bool {
+        self.clients.all_quiet()
+    }
+
+    pub fn next_due(&self, now: Moment) -> Moment {
+        let dues = [self.engines.next_due(now), self.clients.next_due(now), self.board.next_due()];
+        let end = self.ends.first().map(|end| end.0);
+        let fleet = self.fleet.as_ref().map(|fleet| fleet.next_due(now));
+        dues.into_iter().chain([end, fleet]).flatten().fold(self.wake, Moment::min)
+    }
+
+    /// Works off what all peers brought, then asks once for all that waits.
+    pub fn turn(&mut self, now: Moment) {
+        self.engines.expire(now, &mut self.counters);
+        self.engines.go_on(now, &mut self.counters);
+        self.clients.expire(now, &mut self.counters);
+        self.clients.go_on(now, &mut self.counters);
+        self.board.expire(now, &mut self.counters);
+        // Idle clients may hold every descriptor: one goes for the board, without which no news of engines comes.
+        if self.board.short() && self.clients.give_up_one(now, &mut self.counters) {
+            self.board.ask_again(now, &mut self.counters);
+        }
+        let events = self.board.events();
+        self.told(now, &events);
+        self.reports(now);
+        loop {
+            let news = self.clients.news();
+            if news.is_empty() {
+                break;
+            }
+            news.into_iter().for_each(|news| self.heard(now, news));
+        }
+        self.leave(now);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.turn(now);
+            let doubts = fleet.engines(now, self.hall.health(), &self.names);
+            self.hall.told_doubts(now, &doubts);
+        }
+        self.divided(now);
+        let tick = self.hall.tick(now);
+        tick.due.into_iter().for_each(|(id, pick)| self.picked(now, id, pick));
+        // What could not even be sent is back in line by now, and what stood behind an answer was read.
+        let again = self.reports(now) || self.clients.has_news();
+        self.overdue(now);
+        if self.progress <= now && self.directory.is_some() {
+            self.progress = now + Span::from_secs(PROGRESS_S);
+            self.tell_progress(now);
+        }
+        if self.check <= now {
+            self.check = now + Span::from_secs(CHECK_S);
+            self.compare();
+        }
+        self.wake = now + if again { Span::ZERO } else { tick.wait };
+    }
+
+    /// What of the budgets of all is this gateway's at present, for the lines and the decisions.
+    fn divided(&mut self, now: Moment) {
+        let Some(parts) = self.fleet.as_mut().and_then(Fleet::parts) else { return };
+        if parts.divides_members() {
+            let flows = self.hall.flows().into_iter().map(|(wanted, paid)| Flow { wanted, paid });
+            let rates = parts.members(&flows.collect::<Vec<_>>());
+            self.hall.lease(now, &rates);
+        }
+        let benched = self.hall.beliefs().filter(|held| held.2).count();
+        let allowed = parts.allowed(self.hall.carries(), self.peers, benched);
+        self.hall.told_allowed(allowed);
+    }
+
+    /// Statements in flight as the decisions hold them, against what is out on the sockets. A difference would have
+    /// them send to the wrong engine for ever after, with nothing else to show it.
+    fn compare(&mut self) {
+        let held = self.hall.beliefs().filter(|held| held.1 > 0).map(|(engine, out, _)| (engine, out));
+        let (held, out) = (held.collect::<BTreeMap<_, _>>(), self.engines.out());
+        self.counters.books_checked += 1;
+        if held != out {
+            self.counters.books_differ += 1;
+            warn!(?held, ?out, "the decisions hold other relays out than the sockets");
+        }
+    }
+
+    /// Engines left out at present.
+    pub fn benched(&self) -> usize {
+        self.hall.beliefs().filter(|held| held.2).count()
+    }
+
+    /// Other gateways are to be known from now on.
+    pub fn join(&mut self, fleet: Fleet) {
+        self.fleet = Some(fleet);
+    }
+
+    pub fn fleet(&mut self) -> Option<&mut Fleet> {
+        self.fleet.as_mut()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/service/shown.rs
@@ -0,0 +1,66 @@
+//! What a session is shown of this gateway: queues, progress, the fleet, shares.
+
+use std::net::IpAddr;
+
+use admission::interface::{Moment, Span};
+use bytes::Bytes;
+
+use super::Service;
+use crate::clients::packets::Answer;
+use crate::engines::lines::Rid;
+use crate::fleet::Fleet;
+use crate::status;
+
+/// Desks that one status shows at most; those where something waits come first.
+const STATUS_ROWS: usize = 1000;
+
+impl Service {
+    pub(super) fn tell_fleet(&mut self, now: Moment, session: u32, text: &Bytes) {
+        let Some(fleet) = &mut self.fleet else {
+            return self.unknown(now, session, text);
+        };
+        let rows = status::fleet(now, fleet.gateway());
+        let table = |answer: Answer| answer.table(status::FLEET, &rows);
+        self.clients.answer(now, session, &mut self.counters, table);
+    }
+
+    pub(super) fn tell_shares(&mut self, now: Moment, session: u32, text: &Bytes) {
+        let Some(parts) = self.fleet.as_mut().and_then(Fleet::parts) else {
+            return self.unknown(now, session, text);
+        };
+        let (steady, status) = parts.status();
+        let rows = status::shares(steady, &status);
+        let table = |answer: Answer| answer.table(status::SHARES, &rows);
+        self.clients.answer(now, session, &mut self.counters, table);
+    }
+
+    pub(super) fn tell_progress(&mut self, now: Moment) {
+        for (session, id) in self.clients.progressing() {
+            let Some((waited, left)) = self.hall.progress(now, id) else { continue };
+            let whole = waited.secs() + left.wait.secs();
+            let done = if whole > 0.0 { waited.secs() / whole * 1e5 } else { 0.0 };
+            let text = format!("Waiting, {:.1} s more", left.wait.secs());
+            self.clients.tell_progress(now, session, done as u32, &text, &mut self.counters);
+        }
+    }
+
+    pub(super) fn tell_queue(&mut self, now: Moment, session: u32, id: Option<String>) {
+        self.counters.statuses_told += 1;
+        let Some(id) = id else {
+            let rows = status::desks(&self.hall.status(now, STATUS_ROWS).unwrap_or_default());
+            let table = |answer: Answer| answer.table(status::DESKS, &rows);
+            self.clients.answer(now, session, &mut self.counters, table);
+            return;
+        };
+        let statement = Rid::try_from(id.as_bytes()).ok().and_then(|rid| self.rids.get(&rid)).copied();
+        let row = statement.and_then(|statement| self.hall.statement(now, statement));
+        let rows: Vec<_> = row.iter().map(|row| status::statement(&id, row)).collect();
+        let table = |answer: Answer| answer.table(status::STATEMENT, &rows);
+        self.clients.answer(now, session, &mut self.counters, table);
+    }
+
+    /// A question to what is not on is a query like any other that cannot be used.
+    pub(super) fn unknown(&mut self, now: Moment, session: u32, text: &Bytes) {
+        self.asked(now, session, text, IpAddr::from([0; 4]), Span::ZERO);
+    }
+}
