--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -13,34 +13,43 @@
     pub direct_probes: usize,
     /// Bytes a second of gossip that messages carry.
     pub gossip_bytes_per_s: f64,
-    /// Bytes a second of table pages, asked for and given out alike, beyond the first `EXCHANGE_BURST_BYTES`.
+    /// Bytes a second sent to compare tables and to give out what differs, beyond the first `EXCHANGE_BURST_BYTES`.
     pub exchange_bytes_per_s: f64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
         Bounds {
-            confirmations: 6,
+            confirmations: 10,
             verifiers: 4,
             direct_probes: 8,
-            gossip_bytes_per_s: 1_500.0,
-            exchange_bytes_per_s: 1_000.0,
+            gossip_bytes_per_s: 900.0,
+            exchange_bytes_per_s: 700.0,
         }
     }
 }
 
 /// Updates that wait to be told at most; the one told most often makes room.
 pub(crate) const UPDATES: usize = 128;
-/// Gateways whose failed probe is being repeated, at most.
-pub(crate) const CONFIRMING: usize = 64;
+/// Gateways whose failed probe is being repeated, at most: of many that fail at once others repeat as well.
+pub(crate) const CONFIRMING: usize = 2;
+/// Seconds after its return for which what a gateway says of others' failures does not count as a witness: it was cut off from
+/// them, and holds for dead whom it did not reach.
+pub(crate) const RETURNED_S: f64 = 120.0;
 /// Periods that those who do not verify at once wait for more witnesses: so many, and by chance up to as many again.
 pub(crate) const VERIFY_LATER_PERIODS: f64 = 10.0;
 /// Seconds of gossip that may be saved up.
 pub(crate) const GOSSIP_BURST_S: f64 = 2.0;
-/// Bytes of table pages that a gateway may take and give at once: two tables of some 1,900 gateways, and some.
-pub(crate) const EXCHANGE_BURST_BYTES: f64 = 256_000.0;
-/// Bytes that one page comes to at most.
-pub(crate) const PAGE_BYTES: f64 = 1_200.0;
+/// Bytes of exchanges that a gateway may save up: a newcomer's comparisons with a table of some 1,900 gateways, nearly.
+pub(crate) const EXCHANGE_BURST_BYTES: f64 = 16_000.0;
+/// Bytes that one page, or one answer to a comparison, comes to at most.
+pub(crate) const PAGE_BYTES: f64 = 1_100.0;
+/// Bytes that one comparison comes to.
+pub(crate) const ASK_BYTES: f64 = 400.0;
+/// Saved bytes above which the next comparison follows an answer at once.
+pub(crate) const ASK_AGAIN_BYTES: f64 = 4.0 * PAGE_BYTES;
+/// Direct probes a period of gateways that did not speak themselves, at most.
+pub(crate) const HEARSAY_PROBES: usize = 2;
 /// Candidates above which a table is asked for: fewer are left to gossip.
 pub(crate) const CANDIDATES: usize = 8;
 /// Periods in which an own view must not have changed before a differing one is taken for more than gossip under way.
--- a/crates/fleet/src/gateway/bounded.rs
+++ b/crates/fleet/src/gateway/bounded.rs
@@ -16,14 +16,15 @@
 impl Gateway {
     /// A direct probe with the next period: its subject spoke itself.
     pub(super) fn verify_now(&mut self, now: Moment, name: &Name, at: SocketAddr) {
-        self.direct_probes.insert(name.clone(), Verification { at, due: now });
+        self.direct_probes.insert(name.clone(), Verification { at, due: now, spoke: true });
     }
 
     /// A direct probe of one of whom too few witnesses spoke: at once, or with bounds later by chance, when enough others
     /// had time to verify it. True: it is new here.
     pub(super) fn verify(&mut self, now: Moment, name: &Name, at: SocketAddr) -> bool {
         let Some(bounds) = &self.terms.bounds else {
-            return self.direct_probes.insert(name.clone(), Verification { at, due: now }).is_none();
+            let verification = Verification { at, due: now, spoke: false };
+            return self.direct_probes.insert(name.clone(), verification).is_none();
         };
         if self.confirming.contains_key(name) || self.probes.asks(name) {
             return false;
@@ -38,7 +39,7 @@
         let wait = VERIFY_LATER_PERIODS * (1.0 + self.rng.random::<f64>()) * self.terms.period.secs();
         let due = if at_once { now } else { now + Span::from_secs(wait) };
         self.tally.verified_later += u64::from(!at_once);
-        self.direct_probes.insert(name.clone(), Verification { at, due });
+        self.direct_probes.insert(name.clone(), Verification { at, due, spoke: false });
         true
     }
 
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 use admission::interface::{Moment, Span};
 
 use super::Gateway;
-use crate::bounds::{ByteBudget, CANDIDATES, PAGE_BYTES, STILL_PERIODS};
+use crate::bounds::PAGE_BYTES;
 use crate::message::{self, Body};
 use crate::probes::some;
 use crate::who::{Name, Record, State};
@@ -33,57 +33,53 @@
 
     /// A full exchange with one by chance: now and then, and soon where its view is another.
     pub(super) fn pull(&mut self, now: Moment) {
+        if self.terms.bounds.is_some() {
+            return self.compare_in_turn(now);
+        }
         if self.next_pull > now {
             return;
         }
-        let Some(wait) = self.pull_wait(now) else { return };
+        let wait = self.pull_wait(now);
         self.next_pull = now + Span::from_secs(self.terms.period.secs() * wait * self.chance());
         let all =
             self.table.fleet().filter(|held| held.record.state == State::Alive).map(|held| &held.record);
         let to = some(all, 1, &mut self.rng).first().map(|record| (record.address, record.name.clone()));
-        if let Some((to, name)) = to.filter(|_| self.pulls.take(now) && self.may_ask_page(now)) {
+        if let Some((to, name)) = to.filter(|_| self.pulls.take(now)) {
             self.last_pull = now;
             let after = self.pull_after.clone();
             self.send(now, to, Some(&name), Body::Pull { after }, Vec::new());
         }
     }
 
-    /// Periods until the next full exchange; `None`: none is needed.
-    fn pull_wait(&mut self, now: Moment) -> Option<f64> {
+    /// Periods until the next full exchange.
+    fn pull_wait(&mut self, now: Moment) -> f64 {
         let seen = self.seen(now);
-        if self.pull_after.is_some() {
-            return Some(1.0);
-        }
-        let differ = seen.other > 0;
-        if self.terms.bounds.is_none() {
-            return Some(if differ { 3.0 } else { PULL });
+        match (self.pull_after.is_some(), seen.other > 0) {
+            (true, _) => 1.0,
+            (false, true) => 3.0,
+            (false, false) => PULL,
         }
-        let periods = |since: Moment| (now - since).secs() / self.terms.period.secs();
-        let still = periods(self.view_since.1) >= STILL_PERIODS || periods(self.last_pull) >= PULL;
-        (seen.candidates > CANDIDATES || differ && still).then_some(STILL_PERIODS)
     }
 
-    /// With bounds: whether the budget has bytes for one more page to come, which are spent by it.
-    pub(super) fn may_ask_page(&mut self, now: Moment) -> bool {
-        let bounded = self.terms.bounds.is_some();
-        let may = !bounded || spend_page(&mut self.pages_in_bytes, now);
-        self.tally.bounded_exchange += u64::from(!may);
-        may
+    /// The next part of a table follows at once; with bounds it waits for the next exchange.
+    pub(super) fn pull_on(&mut self, now: Moment, to: SocketAddr, from: &Name, next: Option<Name>) {
+        self.pull_after = next;
+        if self.pull_after.is_some() && self.terms.bounds.is_none() && self.pulls.take(now) {
+            let after = self.pull_after.clone();
+            self.send(now, to, Some(from), Body::Pull { after }, Vec::new());
+        }
     }
 
-    /// The same of one to give out.
+    /// Whether the budget has bytes to give a part of the table out, which are spent by it; always without bounds.
     pub(super) fn may_give_page(&mut self, now: Moment) -> bool {
-        let bounded = self.terms.bounds.is_some();
-        let may = !bounded || spend_page(&mut self.pages_out_bytes, now);
-        self.tally.bounded_exchange += u64::from(!may);
-        may
+        self.terms.bounds.is_none() || self.may_spend_exchange(now, PAGE_BYTES)
     }
-}
 
-fn spend_page(budget: &mut ByteBudget, now: Moment) -> bool {
-    let may = budget.left(now) >= PAGE_BYTES;
-    if may {
-        budget.spend(PAGE_BYTES);
+    /// With bounds: whether the budget of exchanges has so many bytes, which are spent by it.
+    pub(super) fn may_spend_exchange(&mut self, now: Moment, bytes: f64) -> bool {
+        let may = self.exchange_bytes.left(now) >= bytes;
+        self.exchange_bytes.spend(if may { bytes } else { 0.0 });
+        self.tally.bounded_exchange += u64::from(!may);
+        may
     }
-    may
 }
--- a/crates/fleet/src/gateway/gossip.rs
+++ b/crates/fleet/src/gateway/gossip.rs
@@ -5,6 +5,7 @@
 use super::Event;
 use super::Gateway;
 use super::identity::LEAP;
+use crate::bounds::RETURNED_S;
 use crate::who::{Incarnation, Name, Record, State};
 
 impl Gateway {
@@ -41,7 +42,9 @@
         }
         let changed = !known || before != held.record;
         let revived = known && before.state == State::Dead && !other && from.state == State::Alive;
-        self.tally.revived += u64::from(revived);
+        if revived {
+            self.returned(now, name);
+        }
         if changed {
             self.changed(now, name);
         }
@@ -77,7 +80,9 @@
                 let dead = held.record.state == State::Dead;
                 held.record = from.clone();
                 held.suspicion = None;
-                self.tally.revived += u64::from(dead);
+                if dead {
+                    self.returned(now, &from.name);
+                }
                 self.changed(now, &from.name);
             }
             // Held for worse at this incarnation: it will hear of it, and rise.
@@ -111,10 +116,24 @@
         if self.terms.bounds.is_some() && self.says_nothing_new(by, &word) {
             return;
         }
+        if self.terms.bounds.is_some() && self.was_cut_off(now, by, &word) {
+            let at = self.table.get(&name).map_or(word.address, |held| held.record.address);
+            let first = self.verify(now, &name, at);
+            self.tally.unvouched += u64::from(first);
+            return;
+        }
         self.table.witness(now, &by.name, by.address.ip(), word);
         self.weigh(now, &name);
     }
 
+    /// With bounds: whether this is word of a failure by a gateway that came back lately. Two of them would make each gateway
+    /// of the half that they did not reach suspect, all at once.
+    fn was_cut_off(&self, now: Moment, by: &Record, word: &Record) -> bool {
+        let failed = matches!(word.state, State::Suspect | State::Dead);
+        let returned = self.table.get(&by.name).and_then(|held| held.returned);
+        failed && returned.is_some_and(|returned| (now - returned).secs() < RETURNED_S)
+    }
+
     /// With bounds: word that agrees with what is held, or that a gateway held alive rose meanwhile, needs no witnesses and
     /// no probe. What this witness said before is withdrawn by it.
     fn says_nothing_new(&mut self, by: &Record, word: &Record) -> bool {
@@ -154,12 +173,14 @@
             return;
         }
         let newer = |says: &Record| says.state == State::Alive && says.incarnation > record.incarnation;
-        if let Some(vouched) = held.vouched(now, need, newer) {
+        if let Some(vouched) = held.vouched(now, self.table.witness_lasts(true), need, newer) {
             let held = self.table.get_mut(name).expect("just seen");
             let dead = held.record.state == State::Dead && held.record.life == vouched.life;
             held.record = vouched;
             held.suspicion = None;
-            self.tally.revived += u64::from(dead);
+            if dead {
+                self.returned(now, name);
+            }
             self.changed(now, name);
             return;
         }
@@ -186,7 +207,8 @@
     fn weigh_candidate(&mut self, now: Moment, name: &Name) {
         let Some(held) = self.table.get(name) else { return };
         let address = held.record.address;
-        match held.vouched(now, self.terms.voices(), |says| says.state.counts()) {
+        let lasts = self.table.witness_lasts(false);
+        match held.vouched(now, lasts, self.terms.voices(), |says| says.state.counts()) {
             Some(vouched) => {
                 let held = self.table.get_mut(name).expect("just seen");
                 (held.record, held.known) = (Record { state: State::Alive, ..vouched }, true);
--- a/crates/fleet/src/gateway/identity.rs
+++ b/crates/fleet/src/gateway/identity.rs
@@ -54,7 +54,7 @@
         }
         if word.address != self.own.address && word.state.counts() && self.twin != Some(word.life) {
             self.twin = Some(word.life);
-            self.ask(now, Purpose::RejoinProbe, word.address);
+            self.ask(now, Purpose::RejoinProbe(None), word.address);
         }
     }
 
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! beside it holds one job of it.
 
 mod bounded;
+mod compare;
 mod engine_news;
 mod event;
 mod exchange;
@@ -31,6 +32,7 @@
 use crate::table::{Held, Row, Table};
 use crate::terms::{Paced, Terms};
 use crate::who::{Incarnation, Life, Name, Place, Record, State};
+use compare::Comparing;
 pub use event::Event;
 use exchange::PULLS_PER_S;
 pub use send::LONGEST_CARRIED;
@@ -43,9 +45,11 @@
 struct Verification {
     at: SocketAddr,
     due: Moment,
+    /// It spoke itself; else others spoke of it.
+    spoke: bool,
 }
 
-/// Of gossip, and of table pages.
+/// Of gossip, and of what tables are compared and exchanged by.
 fn byte_budgets(terms: &Terms) -> (ByteBudget, ByteBudget) {
     let bounds = terms.bounds.clone().unwrap_or_default();
     let gossip = ByteBudget::new(bounds.gossip_bytes_per_s, bounds.gossip_bytes_per_s * GOSSIP_BURST_S);
@@ -102,8 +106,8 @@
     /// Gateways whose failed probe is repeated before anything is said of it.
     confirming: BTreeMap<Name, Confirming>,
     gossip_bytes: ByteBudget,
-    pages_in_bytes: ByteBudget,
-    pages_out_bytes: ByteBudget,
+    exchange_bytes: ByteBudget,
+    comparing: Comparing,
     /// Attempts to meet anybody, before it did.
     rejoins: u32,
     last_pull: Moment,
@@ -141,14 +145,14 @@
         // Gateways that start together do not probe in step.
         let chance = Span::from_secs(terms.period.secs() * rng.random::<f64>());
         let first = now + Span::from_secs(0.01);
-        let (gossip_bytes, pages_bytes) = byte_budgets(&terms);
+        let (gossip_bytes, exchange_bytes) = byte_budgets(&terms);
         Gateway {
             fleet,
             ring,
             own,
             seeds,
             counter: 0,
-            table: Table::new(terms.most),
+            table: Table::new(terms.most, terms.bounds.is_some()),
             probes: Probes::new(),
             engines: Engines::default(),
             standings: Standings::new(now),
@@ -170,8 +174,8 @@
             direct_probes: BTreeMap::new(),
             confirming: BTreeMap::new(),
             gossip_bytes,
-            pages_in_bytes: pages_bytes.clone(),
-            pages_out_bytes: pages_bytes,
+            exchange_bytes,
+            comparing: Comparing::default(),
             rejoins: 0,
             last_pull: now,
             last_heard: None,
@@ -199,9 +203,8 @@
         self.pages = Paced::new(terms.pages_per_s);
         self.news = Paced::new(terms.news_per_s);
         if terms.bounds != self.terms.bounds {
-            let (gossip_bytes, pages_bytes) = byte_budgets(&terms);
-            self.gossip_bytes = gossip_bytes;
-            (self.pages_in_bytes, self.pages_out_bytes) = (pages_bytes.clone(), pages_bytes);
+            (self.gossip_bytes, self.exchange_bytes) = byte_budgets(&terms);
+            self.table.set_patient(terms.bounds.is_some());
         }
         (self.seeds, self.ring, self.terms) = (seeds, ring, terms);
     }
@@ -225,7 +228,12 @@
     }
 
     pub fn rows(&self) -> impl Iterator<Item = Row> {
-        let row = |held: &Held| Row { record: held.record.clone(), known: held.known, since: held.since };
+        let row = |held: &Held| Row {
+            record: held.record.clone(),
+            known: held.known,
+            since: held.since,
+            answered: held.answered,
+        };
         self.table.all().map(row)
     }
 
--- a/crates/fleet/src/gateway/probing.rs
+++ b/crates/fleet/src/gateway/probing.rs
@@ -1,13 +1,16 @@
 //! Probes: in turn, direct ones after gossip, re-join probes, and indirect probes by others.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use admission::interface::Moment;
 use rand::seq::SliceRandom;
 
 use super::{Gateway, Verification};
+use crate::bounds::{Confirming, HEARSAY_PROBES};
 use crate::message::{Body, Nonce};
 use crate::probes::{Purpose, some};
+use crate::terms::Terms;
 use crate::who::{Name, State};
 
 impl Gateway {
@@ -27,8 +30,9 @@
         names.shuffle(&mut self.rng);
         let most = self.terms.bounds.as_ref().map(|bounds| bounds.direct_probes);
         if let Some(most) = most {
-            self.tally.bounded_probes += names.len().saturating_sub(most) as u64;
-            names.truncate(most);
+            let before = names.len();
+            self.keep_some_direct_probes(&mut names, most);
+            self.tally.bounded_probes += (before - names.len()) as u64;
         }
         for name in names {
             if most.is_none() && self.probes.direct_probes() >= self.terms.looks {
@@ -50,6 +54,15 @@
         }
     }
 
+    /// Those first that spoke themselves; of hearsay a few, since others verify it as well.
+    fn keep_some_direct_probes(&self, names: &mut Vec<Name>, most: usize) {
+        let spoke = |name: &Name| self.direct_probes.get(name).is_some_and(|verification| verification.spoke);
+        let (mut first, hearsay): (Vec<Name>, Vec<Name>) = names.drain(..).partition(spoke);
+        first.extend(hearsay.into_iter().take(HEARSAY_PROBES));
+        first.truncate(most);
+        *names = first;
+    }
+
     /// Seeds that are not in the fleet, and one that had gone: how two halves find each other again.
     pub(super) fn rejoin(&mut self, now: Moment) {
         let known = |at: &SocketAddr| self.table.fleet().any(|held| held.record.address == *at);
@@ -59,9 +72,12 @@
         let patient = self.met || self.terms.bounds.is_some();
         seeds.truncate(if patient { 1 } else { 3 });
         self.rejoins = self.rejoins.saturating_add(1);
+        seeds.into_iter().for_each(|to| self.ask(now, Purpose::RejoinProbe(None), to));
         let gone = self.table.all().filter(|held| held.known && !held.counts()).map(|held| &held.record);
-        seeds.extend(some(gone, 1, &mut self.rng).into_iter().map(|record| record.address));
-        seeds.into_iter().for_each(|to| self.ask(now, Purpose::RejoinProbe, to));
+        let gone = some(gone, 1, &mut self.rng).first().map(|record| (record.name.clone(), record.address));
+        // It is told what is held of it, above which it rises: taken back at the old incarnation, it would be suspected again on
+        // the word of others that still hold it for dead.
+        gone.into_iter().for_each(|(name, to)| self.ask(now, Purpose::RejoinProbe(Some(name)), to));
     }
 
     /// A question's next step.
@@ -69,6 +85,8 @@
         let Some(asked) = self.probes.get_mut(nonce) else { return };
         if let Purpose::Probe(name) = &asked.purpose
             && now < asked.over
+            && let count = helpers_of(&self.confirming, &self.terms, name)
+            && count > 0
         {
             // No answer to this gateway: others try before anything is said of it.
             let name = name.clone();
@@ -76,10 +94,8 @@
             let Some(target) = self.table.get(&name).map(|held| held.record.clone()) else { return };
             let others = self.table.fleet().map(|held| &held.record);
             let others = others.filter(|record| record.state == State::Alive && record.name != name);
-            let helpers: Vec<SocketAddr> = some(others, self.terms.helpers, &mut self.rng)
-                .into_iter()
-                .map(|record| record.address)
-                .collect();
+            let helpers: Vec<SocketAddr> =
+                some(others, count, &mut self.rng).into_iter().map(|record| record.address).collect();
             let asked = self.probes.get_mut(nonce).expect("just seen");
             asked.helpers = helpers.iter().copied().collect();
             for to in helpers {
@@ -99,10 +115,22 @@
                 self.probe_failed(now, &name);
             }
             Purpose::DirectProbe(name) => self.table.not_there(&name),
-            Purpose::RejoinProbe => {}
+            Purpose::RejoinProbe(_) => {}
             Purpose::IndirectProbe { asker, nonce } => {
                 self.send(now, asker, None, Body::Silent(nonce), Vec::new())
             }
         }
     }
 }
+
+/// How many others are asked as well: with bounds, of a failed probe that is repeated, all for the last time only, and before
+/// that one for every second: repeats cost less, and whoever a third reaches is not suspected.
+fn helpers_of(confirming: &BTreeMap<Name, Confirming>, terms: &Terms, name: &Name) -> usize {
+    let Some((bounds, confirming)) = terms.bounds.as_ref().zip(confirming.get(name)) else {
+        return terms.helpers;
+    };
+    match confirming.failures {
+        failures if failures >= bounds.confirmations => terms.helpers,
+        failures => terms.helpers.min(usize::from(failures.is_multiple_of(2))),
+    }
+}
--- a/crates/fleet/src/gateway/receive.rs
+++ b/crates/fleet/src/gateway/receive.rs
@@ -6,6 +6,7 @@
 
 use super::Gateway;
 use super::send::CARRIED;
+use crate::buckets::Window;
 use crate::engines::EngineNews;
 use crate::message::{self, Body, Message, Nonce, Refused, View};
 use crate::probes::Purpose;
@@ -72,7 +73,12 @@
                 Some(self.answered(now, src, &from, *nonce, &body)?)
             }
             Body::Ping(_) | Body::Ask { .. } if !pace.take(now) => return Err(Refused::Many),
-            Body::Pull { .. } if !self.pages.take(now) || !self.may_give_page(now) => {
+            Body::Compare { first, digests, .. }
+                if Window::new(usize::from(*first), digests.len()).is_none() =>
+            {
+                return Err(Refused::Form);
+            }
+            Body::Pull { .. } | Body::Compare { .. } if !self.pages.take(now) || !self.may_give_page(now) => {
                 return Err(Refused::Many);
             }
             _ => None,
@@ -151,13 +157,13 @@
                 }
             }
             Body::Pull { after } => self.page(now, to, after.as_ref()),
-            Body::Page { next } => {
-                self.pull_after = next;
-                if self.pull_after.is_some() && self.pulls.take(now) && self.may_ask_page(now) {
-                    let after = self.pull_after.clone();
-                    self.send(now, to, Some(&from.name), Body::Pull { after }, Vec::new());
+            Body::Page { next } => self.pull_on(now, to, &from.name, next),
+            Body::Compare { nonce, first, digests } => {
+                if let Some(window) = Window::new(usize::from(first), digests.len()) {
+                    self.answer_comparison(now, to, &from.name, nonce, window, &digests);
                 }
             }
+            Body::Compared { nonce, equal, covered } => self.compared(now, from, nonce, equal, covered),
             _ => {}
         }
     }
@@ -175,7 +181,7 @@
         if matches!(body, Body::Ack(_)) {
             let named = match &asked.purpose {
                 Purpose::Probe(name) | Purpose::DirectProbe(name) => *name == from.name,
-                Purpose::RejoinProbe | Purpose::IndirectProbe { .. } => true,
+                Purpose::RejoinProbe(_) | Purpose::IndirectProbe { .. } => true,
             };
             if asked.to != src || !named {
                 return Err(Refused::Unasked);
--- a/crates/fleet/src/gateway/send.rs
+++ b/crates/fleet/src/gateway/send.rs
@@ -65,7 +65,9 @@
         if !self.sweep.is_empty() || !matches!(message.body, Body::Page { .. }) {
             room = self.add_engine_news(now, &mut message, room);
         }
-        self.add_updates_within_budget(now, &mut message, room);
+        if name.is_none_or(|name| self.seems_reached(name)) {
+            self.add_updates_within_budget(now, &mut message, room);
+        }
         let bytes = message::seal(&self.ring, &message);
         self.tally.sent += 1;
         self.tally.sent_bytes += bytes.len() as u64;
@@ -85,6 +87,12 @@
         room
     }
 
+    /// With bounds no gossip is spent on a gateway that probably does not receive it.
+    fn seems_reached(&self, name: &Name) -> bool {
+        let alive = |name| self.table.get(name).is_none_or(|held| held.record.state == State::Alive);
+        self.terms.bounds.is_none() || !self.confirming.contains_key(name) && alive(name)
+    }
+
     /// Updates of gossip: as many as fit, and with bounds as the budget has bytes for.
     fn add_updates_within_budget(&mut self, now: Moment, message: &mut Message, room: usize) {
         if self.terms.bounds.is_none() {
@@ -130,7 +138,8 @@
     pub(super) fn ask(&mut self, now: Moment, purpose: Purpose, to: SocketAddr) {
         let name = match &purpose {
             Purpose::Probe(name) | Purpose::DirectProbe(name) => Some(name.clone()),
-            Purpose::RejoinProbe | Purpose::IndirectProbe { .. } => None,
+            Purpose::RejoinProbe(gone) => gone.clone(),
+            Purpose::IndirectProbe { .. } => None,
         };
         let (answer, period) = (self.terms.answer, self.terms.period);
         // A probe that is repeated has no whole period; and a gateway that doubts itself stretches it by the root only, or
@@ -150,6 +159,11 @@
             self.updates.insert(name.clone(), times as u32);
             return;
         }
+        let died = self.table.get(name).is_some_and(|held| held.record.state == State::Dead);
+        if died && self.updates.contains_key(name) {
+            // It is being told as suspected: from now on it is told as dead, as often as was left.
+            return;
+        }
         let times = RETELL * ((self.table.len() + 2) as f64).log2().ceil();
         self.updates.insert(name.clone(), times as u32);
         if self.updates.len() > UPDATES {
--- a/crates/fleet/src/gateway/suspicion.rs
+++ b/crates/fleet/src/gateway/suspicion.rs
@@ -16,7 +16,7 @@
             return;
         }
         held.record.state = State::Suspect;
-        held.suspicion = Some(Suspicion { began: now });
+        held.suspicion = Some(Suspicion { began: now, renewed: false });
         self.tally.suspected += 1;
         self.changed(now, name);
     }
@@ -32,6 +32,23 @@
         }
     }
 
+    /// One that was held for dead is back. With bounds the suspicions that stand begin anew: a cut may have ended, and those
+    /// suspected since then have had no time to say that they are there.
+    pub(super) fn returned(&mut self, now: Moment, name: &Name) {
+        self.tally.revived += 1;
+        if self.terms.bounds.is_none() {
+            return;
+        }
+        if let Some(held) = self.table.beside(name) {
+            held.returned = Some(now);
+        }
+        for suspicion in self.table.suspicions() {
+            if !suspicion.renewed {
+                *suspicion = Suspicion { began: now, renewed: true };
+            }
+        }
+    }
+
     /// Suspicion ends in death when it was not refuted in time: sooner the more independent gateways share it.
     pub(super) fn suspicions(&mut self, now: Moment) {
         let size = (self.size() as f64).max(10.0);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! could lie, and one more, or once it has looked for itself. See docs/notes/fleet.md.
 
 mod bounds;
+pub mod buckets;
 pub mod engines;
 pub mod gateway;
 pub mod keys;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::buckets::BucketDigest;
 use crate::engines::EngineNews;
 use crate::keys::{CODE, KeyMark, Ring};
 use crate::who::{Name, Record};
@@ -69,6 +70,19 @@
     News,
     /// Words of another subsystem, to be carried.
     Carried(Vec<u8>),
+    /// Digests of some buckets of my table, from the first on: what differs in yours, please.
+    Compare {
+        nonce: Nonce,
+        first: u8,
+        digests: Vec<BucketDigest>,
+    },
+    /// Which of these buckets are equal in my table, a bit each from the lowest; records of the others stand among the
+    /// message's. `covered`: as many buckets from the first on are equal or told in full.
+    Compared {
+        nonce: Nonce,
+        equal: u32,
+        covered: u8,
+    },
 }
 
 /// A view of the fleet in short: two that agree hold the same gateways in the same lives.
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -47,4 +47,7 @@
     bounded_probes: "direct probes put off, since a period had its number",
     bounded_gossip: "messages that carried less gossip than there was and fitted",
     bounded_exchange: "parts of tables not asked for or not given, for want of budget",
+    compared: "comparisons of some buckets of the table with another's, with bounds",
+    compared_for_others: "comparisons that others asked for",
+    vouched_by_digest: "gateways that an equal bucket of another's table vouched for",
 }
--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -20,8 +20,8 @@
     Probe(Name),
     /// One never met: no answer and it is forgotten.
     DirectProbe(Name),
-    /// A seed, or one that had gone: no answer means nothing.
-    RejoinProbe,
+    /// A seed, or one that had gone, by its name: no answer means nothing.
+    RejoinProbe(Option<Name>),
     /// For another gateway that cannot reach it.
     IndirectProbe { asker: SocketAddr, nonce: Nonce },
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -4,8 +4,8 @@
 use std::net::IpAddr;
 
 use admission::interface::{Moment, Span};
-use sha2::{Digest, Sha256};
 
+use crate::buckets::{self, BucketDigest, Window, mark};
 use crate::message::{Seen, View};
 use crate::who::{Life, Name, Record, State};
 
@@ -14,6 +14,9 @@
 const WITNESS_S: f64 = 20.0;
 /// How long one that is hearsay alone stays.
 const HEARSAY_S: f64 = 30.0;
+/// With bounds witnesses of a gateway that is not in the fleet yet come seldom: they count for longer, and it stays.
+const PATIENT_WITNESS_S: f64 = 60.0;
+const PATIENT_HEARSAY_S: f64 = 90.0;
 /// Looks at one never met before it is dropped.
 const LOOKS: u8 = 2;
 
@@ -27,6 +30,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Suspicion {
     pub began: Moment,
+    /// It began anew since a cut may have ended; once for each suspicion, so that nobody puts deaths off for good.
+    pub renewed: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -38,6 +43,8 @@
     /// When it last answered this gateway itself.
     pub answered: Option<Moment>,
     pub suspicion: Option<Suspicion>,
+    /// When it was taken back after it had been held for dead.
+    pub returned: Option<Moment>,
     pub witnesses: BTreeMap<Name, Witness>,
     pub seen: (Life, Seen),
     pub failed_looks: u8,
@@ -45,14 +52,6 @@
     mark: (Life, u64),
 }
 
-fn mark(record: &Record) -> u64 {
-    let mut hash = Sha256::new();
-    hash.update(record.name.as_str().as_bytes());
-    hash.update(record.life.0.to_le_bytes());
-    let hash = hash.finalize();
-    u64::from_le_bytes(std::array::from_fn(|at| hash[at]))
-}
-
 impl Held {
     fn new(now: Moment, record: Record, known: bool) -> Self {
         let (seen, life, mark_of) = ((record.life, Seen::default()), record.life, mark(&record));
@@ -62,6 +61,7 @@
             since: now,
             answered: None,
             suspicion: None,
+            returned: None,
             witnesses: BTreeMap::new(),
             seen,
             failed_looks: 0,
@@ -73,6 +73,19 @@
         self.known && self.record.state.counts()
     }
 
+    /// Said to be there, on too few witnesses to be in the fleet.
+    pub fn candidate(&self) -> bool {
+        !self.known && self.record.state.counts()
+    }
+
+    /// Hash of the name and the life held now.
+    fn current_mark(&mut self) -> u64 {
+        if self.mark.0 != self.record.life {
+            self.mark = (self.record.life, mark(&self.record));
+        }
+        self.mark.1
+    }
+
     /// Whether any witness says something worse of this life, or something newer.
     pub fn dissent(&self) -> bool {
         self.witnesses.values().any(|witness| self.differs(&witness.says))
@@ -92,8 +105,14 @@
 
     /// The record that `need` hosts at least vouch for, if any: of the same life and address, at an incarnation that so
     /// many reach, so that a single witness moves neither.
-    pub fn vouched(&self, now: Moment, need: usize, that: impl Fn(&Record) -> bool) -> Option<Record> {
-        let fresh = |witness: &&Witness| (now - witness.at).secs() < WITNESS_S && that(&witness.says);
+    pub fn vouched(
+        &self,
+        now: Moment,
+        lasts: Span,
+        need: usize,
+        that: impl Fn(&Record) -> bool,
+    ) -> Option<Record> {
+        let fresh = |witness: &&Witness| now - witness.at < lasts && that(&witness.says);
         let mut by: BTreeMap<(Life, std::net::SocketAddr), BTreeMap<IpAddr, &Record>> = BTreeMap::new();
         for witness in self.witnesses.values().filter(fresh) {
             let hosts = by.entry((witness.says.life, witness.says.address)).or_default();
@@ -117,18 +136,33 @@
     pub record: Record,
     pub known: bool,
     pub since: Moment,
+    /// When it last answered this gateway itself.
+    pub answered: Option<Moment>,
 }
 
 #[derive(Clone, Debug)]
 pub struct Table {
     most: usize,
+    /// Word of gateways that are not in the fleet yet is kept for longer.
+    patient: bool,
     held: BTreeMap<Name, Held>,
     view: Option<View>,
 }
 
 impl Table {
-    pub fn new(most: usize) -> Self {
-        Table { most, held: BTreeMap::new(), view: None }
+    /// `patient`: word of gateways that are not in the fleet yet is kept for longer.
+    pub fn new(most: usize, patient: bool) -> Self {
+        Table { most, patient, held: BTreeMap::new(), view: None }
+    }
+
+    /// From now on word of gateways that are not in the fleet yet is kept for longer, or is not.
+    pub fn set_patient(&mut self, patient: bool) {
+        self.patient = patient;
+    }
+
+    /// How long word of a gateway counts that is in the fleet, or is not yet.
+    pub fn witness_lasts(&self, known: bool) -> Span {
+        Span::from_secs(if known || !self.patient { WITNESS_S } else { PATIENT_WITNESS_S })
     }
 
     pub fn get(&self, name: &Name) -> Option<&Held> {
@@ -147,6 +181,11 @@
         self.held.get_mut(name)
     }
 
+    /// Those that stand.
+    pub fn suspicions(&mut self) -> impl Iterator<Item = &mut Suspicion> {
+        self.held.values_mut().filter_map(|held| held.suspicion.as_mut())
+    }
+
     /// For what does not change who is in the fleet.
     pub fn beside(&mut self, name: &Name) -> Option<&mut Held> {
         self.held.get_mut(name)
@@ -217,10 +256,11 @@
     pub fn forget(&mut self, now: Moment, keep: Span) -> Vec<Name> {
         let before = self.held.len();
         let mut forgotten = Vec::new();
+        let hearsay_s = if self.patient { PATIENT_HEARSAY_S } else { HEARSAY_S };
         self.held.retain(|name, held| {
             let gone = now - held.since;
             let stays =
-                if held.known { held.record.state.counts() || gone < keep } else { gone.secs() < HEARSAY_S };
+                if held.known { held.record.state.counts() || gone < keep } else { gone.secs() < hearsay_s };
             if held.known && !stays {
                 forgotten.push(name.clone());
             }
@@ -229,8 +269,11 @@
         if self.held.len() != before {
             self.view = None;
         }
-        let stale = |witness: &Witness| (now - witness.at).secs() >= WITNESS_S;
-        self.held.values_mut().for_each(|held| held.witnesses.retain(|_, witness| !stale(witness)));
+        let (known, candidate) = (self.witness_lasts(true), self.witness_lasts(false));
+        for held in self.held.values_mut().filter(|held| !held.witnesses.is_empty()) {
+            let lasts = if held.known { known } else { candidate };
+            held.witnesses.retain(|_, witness| now - witness.at < lasts);
+        }
         forgotten
     }
 
@@ -241,18 +284,34 @@
             return view;
         }
         let own = (own.state == State::Alive).then(|| mark(own));
-        let held = self.held.values_mut().filter(|held| held.counts()).map(|held| {
-            if held.mark.0 != held.record.life {
-                held.mark = (held.record.life, mark(&held.record));
-            }
-            held.mark.1
-        });
+        let held = self.held.values_mut().filter(|held| held.counts()).map(Held::current_mark);
         let (digest, size) = held.chain(own).fold((0, 0u16), |sum, of| (sum.0 ^ of, sum.1.saturating_add(1)));
         let view = View { digest, size };
         self.view = Some(view);
         view
     }
 
+    /// Digests of a window's buckets over the fleet with this gateway in it; `candidates`: over those as well that are not
+    /// in it yet.
+    pub(crate) fn digests(&mut self, window: Window, own: &Record, candidates: bool) -> Vec<BucketDigest> {
+        let counted = |held: &&mut Held| held.counts() || candidates && held.candidate();
+        let held = self.held.values_mut().filter(counted);
+        let held = held.map(|held| (held.current_mark(), &held.record));
+        let own = (own.state == State::Alive).then(|| (mark(own), own));
+        buckets::digests(window, held.chain(own))
+    }
+
+    /// All that is held in a window's buckets, each with its bucket, counted from the window's first.
+    pub(crate) fn in_window(&mut self, window: Window) -> Vec<(usize, &Held)> {
+        let mut placed = Vec::new();
+        for held in self.held.values_mut() {
+            if let Some(place) = window.place(held.current_mark()) {
+                placed.push((place, &*held));
+            }
+        }
+        placed
+    }
+
     /// The own record or one that was reached by `beside` changed: the view is computed anew.
     pub fn own_changed(&mut self) {
         self.view = None;
--- a/crates/fleet/tests/bounded.rs
+++ b/crates/fleet/tests/bounded.rs
@@ -31,12 +31,16 @@
     Terms { bounds, ..Terms::default() }
 }
 
+/// May change a datagram on its way, from one to another; emptied, it is lost.
+type Meddler = Box<dyn FnMut(usize, usize, &mut Vec<u8>)>;
+
 /// Gateways on a network that loses a part of all datagrams; `None`: it was killed.
 struct World {
     now: f64,
     lost: f64,
     all: Vec<Option<Gateway>>,
     rng: Pcg64Mcg,
+    meddler: Option<Meddler>,
 }
 
 impl World {
@@ -49,7 +53,7 @@
             Some(Gateway::new(now, fleet_name(), own.0, own.1, place, seeds, ring(), terms_of(number), seed))
         };
         let all = (0..count).map(make).collect();
-        World { now: 0.0, lost: 0.0, all, rng: Pcg64Mcg::seed_from_u64(seed) }
+        World { now: 0.0, lost: 0.0, all, rng: Pcg64Mcg::seed_from_u64(seed), meddler: None }
     }
 
     fn run(&mut self, seconds: f64) {
@@ -62,9 +66,12 @@
                 if sender.due() <= now {
                     sender.turn(now);
                 }
-                for datagram in sender.take_out() {
-                    let lost = self.rng.random::<f64>() < self.lost;
+                for mut datagram in sender.take_out() {
                     let to = (0..self.all.len()).find(|to| address(*to) == datagram.to);
+                    if let Some((meddler, to)) = self.meddler.as_mut().zip(to) {
+                        meddler(from, to, &mut datagram.bytes);
+                    }
+                    let lost = self.rng.random::<f64>() < self.lost || datagram.bytes.is_empty();
                     let receiver = to.filter(|_| !lost).and_then(|to| self.all[to].as_mut());
                     if let Some(receiver) = receiver {
                         let _ = receiver.receive(now, address(from), &datagram.bytes);
@@ -102,19 +109,23 @@
 
 #[test]
 fn a_third_lost_raises_few_suspicions_only_where_failed_probes_are_repeated() {
-    let suspicions = |confirmations| {
+    /// Suspicions and deaths of 24 gateways in a minute.
+    fn troubles(seed: u64, confirmations: usize) -> (u64, u64) {
         let bounds = Bounds { confirmations, ..Bounds::default() };
-        let mut world = World::new(24, 1, |_| terms(Some(bounds.clone())));
+        let mut world = World::new(24, seed, |_| terms(Some(bounds.clone())));
         assert!(world.settle(30.0).is_some());
         let before = world.sum(|gateway| gateway.tally.suspected);
         world.lost = 1.0 / 3.0;
         world.run(60.0);
-        assert_eq!(world.sum(|gateway| gateway.tally.died), 0);
-        world.sum(|gateway| gateway.tally.suspected) - before
-    };
-    let (repeated, at_once) = (suspicions(6), suspicions(0));
-    assert!(repeated <= 24, "{repeated} suspicions of 24 gateways in a minute");
-    assert!(at_once > repeated * 10, "switched off it would show: {at_once}, {repeated}");
+        (world.sum(|gateway| gateway.tally.suspected) - before, world.sum(|gateway| gateway.tally.died))
+    }
+    for seed in 1..=5 {
+        let (repeated, died) = troubles(seed, Bounds::default().confirmations);
+        assert!(repeated <= 24, "seed {seed}: {repeated} suspicions of 24 gateways in a minute");
+        assert_eq!(died, 0, "seed {seed}");
+        let (at_once, _) = troubles(seed, 0);
+        assert!(at_once > repeated * 10, "switched off it would show: {at_once}, {repeated}");
+    }
 }
 
 #[test]
@@ -204,3 +215,83 @@
     assert!((heard - at).secs().abs() < 3.0);
     assert_eq!((left.table_len(), left.standing().name()), (4, "cut off"));
 }
+
+#[test]
+fn a_bucket_that_is_equal_in_another_table_vouches_for_its_candidates() {
+    let mut world = World::new(60, 8, |_| terms(Some(Bounds::default())));
+    assert!(world.settle(90.0).is_some());
+    assert!(world.sum(|gateway| gateway.tally.vouched_by_digest) > 0);
+}
+
+/// One that never was there, told by a single host.
+fn invented() -> Record {
+    let (life, incarnation) = (fleet::Life(7), fleet::Incarnation(1));
+    let (name, address) = (Name::new("g999").unwrap(), SocketAddr::from(([10, 0, 0, 200], 7946)));
+    Record { name, life, incarnation, address, place: Place::default(), state: State::Alive }
+}
+
+#[test]
+fn one_host_that_lies_in_comparisons_brings_nobody_in_and_takes_nobody_off() {
+    const LIAR: usize = 9;
+    let mut world = World::new(10, 9, |_| terms(Some(Bounds::default())));
+    assert!(world.settle(60.0).is_some());
+    world.run(10.0);
+    world.meddler = Some(Box::new(|from, _, bytes| {
+        if from != LIAR {
+            return;
+        }
+        let mut message = letter::open(&ring(), &fleet_name(), bytes).unwrap();
+        // Its table agrees with every other, the one it invented among it, and its view with none, so that it is compared.
+        if let Body::Compared { equal, .. } = &mut message.body {
+            *equal = u32::MAX;
+        }
+        message.view = View { digest: 1, size: 3 };
+        message.records = vec![invented()];
+        *bytes = letter::seal(&ring(), &message);
+    }));
+    let compared = |world: &World| world.sum(|gateway| gateway.tally.compared);
+    let before = compared(&world);
+    world.run(120.0);
+    assert!(compared(&world) > before, "nothing was compared with the liar");
+    for gateway in world.living().filter(|gateway| gateway.own().name != name(LIAR)) {
+        let held = gateway.held(&invented().name);
+        assert!(held.is_none_or(|held| !held.known), "{} believes one host", gateway.own().name);
+        assert_eq!(gateway.size(), 10, "{}", gateway.own().name);
+    }
+}
+
+#[test]
+fn gateways_that_know_no_comparison_still_give_their_tables() {
+    let mut world = World::new(40, 10, |_| terms(Some(Bounds::default())));
+    // Every other one is of an older version: it refuses what it cannot read, and so asks nothing of the kind.
+    world.meddler = Some(Box::new(|from, to, bytes| {
+        let message = letter::open(&ring(), &fleet_name(), bytes).unwrap();
+        let compares = matches!(message.body, Body::Compare { .. } | Body::Compared { .. });
+        if compares && (from % 2 == 0 || to % 2 == 0) {
+            bytes.clear();
+        }
+    }));
+    assert!(world.settle(120.0).is_some(), "start");
+    world.all[7] = None;
+    assert!(world.settle(60.0).is_some(), "one dead");
+}
+
+#[test]
+fn comparisons_that_name_no_buckets_of_a_table_are_refused() {
+    let mut world = World::new(3, 11, |_| terms(Some(Bounds::default())));
+    assert!(world.settle(30.0).is_some());
+    let by = world.all[1].as_ref().unwrap().own().clone();
+    let now = Moment::from_secs(world.now);
+    for (at, (first, buckets)) in [(128, 4), (0, 0), (0, 33)].into_iter().enumerate() {
+        let body = Body::Compare { nonce: letter::Nonce(1), first, digests: vec![[0; 8]; buckets] };
+        let (fleet, from, view) = (fleet_name(), by.clone(), View::default());
+        let counter = (1 << 40) + at as u64;
+        let message = Letter { fleet, from, counter, view, body, records: vec![], engines: vec![] };
+        let receiver = world.all[0].as_mut().unwrap();
+        let refused = receiver.receive(now, by.address, &letter::seal(&ring(), &message));
+        assert_eq!(refused, Err(fleet::Refused::Form), "{first}, {buckets}");
+        assert_eq!(receiver.tally.refused_form, at as u64 + 1);
+    }
+    world.run(5.0);
+    assert!(world.agreed(), "nothing else is lost by it");
+}
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -221,7 +221,7 @@
     }
 
     /// As the other counters are printed.
-    pub fn counters(&mut self) -> String {
+    pub fn counters(&mut self, now: Moment) -> String {
         let each = self.control.membership().tally.each();
         let mut text: String = each.iter().map(|(name, count)| format!("fleet_{name}={count} ")).collect();
         text += &format!(
@@ -232,6 +232,9 @@
         );
         text += &self.control.leases_mut().map(Parts::counters).unwrap_or_default();
         text += &format!("fleet_uncarried={} ", self.control.undelivered);
+        if let Some(heard) = self.control.membership().last_heard() {
+            text += &format!("fleet_heard_ms_ago={:.0} ", (now - heard).secs() * 1e3);
+        }
         text += &format!(
             "fleet_table={} fleet_standing={} ",
             self.control.membership().table_len(),
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -472,7 +472,8 @@
     /// Whatever the log's level: it was asked for.
     fn print(&mut self) {
         self.service.count();
-        let fleet = self.service.fleet().map_or_else(String::new, |fleet| fleet.counters());
+        let now = self.clock.now();
+        let fleet = self.service.fleet().map_or_else(String::new, |fleet| fleet.counters(now));
         let service = &self.service;
         eprintln!(
             "counters: {}{fleet}open={} waiting={} sessions={} engines_open={} engines_benched={} polls_open={}",
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -58,7 +58,9 @@
 }
 
 /// Columns of `SHOW FLEET`: this gateway first, with its standing and the digest of its view, then those it holds.
-pub const FLEET: [&str; 12] = [
+/// `heard_s`: seconds since this gateway heard from any other, which is how old what it holds is while it is cut off; of another
+/// one, since that answered this gateway itself. `-`: never.
+pub const FLEET: [&str; 13] = [
     "name",
     "state",
     "incarnation",
@@ -71,37 +73,49 @@
     "region",
     "since_s",
     "life",
+    "heard_s",
 ];
 
 pub fn fleet(now: Moment, of: &mut Gateway) -> Vec<[String; FLEET.len()]> {
     let view = of.view();
-    let row =
-        |record: &Record, known: bool, since: Moment, standing: String, digest: String, size: String| {
-            let place =
-                |name: &Option<::fleet::Name>| name.as_ref().map_or("-".to_owned(), ToString::to_string);
-            [
-                record.name.to_string(),
-                record.state.to_string(),
-                record.incarnation.0.to_string(),
-                if known { "yes" } else { "no" }.to_owned(),
-                standing,
-                digest,
-                size,
-                record.address.to_string(),
-                place(&record.place.zone),
-                place(&record.place.region),
-                format!("{:.1}", (now - since).secs()),
-                format!("{:016x}", record.life.0),
-            ]
-        };
     let (digest, size) = (format!("{:016x}", view.digest), of.size().to_string());
-    let own = row(of.own(), true, of.standing_since(), of.standing().to_string(), digest, size);
-    let others = of
-        .rows()
-        .map(|held| row(&held.record, held.known, held.since, String::new(), String::new(), String::new()));
+    let (own, since, heard) = (of.own(), of.standing_since(), of.last_heard());
+    let own = fleet_row(now, own, true, since, heard, [of.standing().to_string(), digest, size]);
+    let none = || [String::new(), String::new(), String::new()];
+    let others =
+        of.rows().map(|held| fleet_row(now, &held.record, held.known, held.since, held.answered, none()));
     [own].into_iter().chain(others).collect()
 }
 
+/// `view`: standing, digest and size, of this gateway itself only.
+fn fleet_row(
+    now: Moment,
+    record: &Record,
+    known: bool,
+    since: Moment,
+    heard: Option<Moment>,
+    view: [String; 3],
+) -> [String; FLEET.len()] {
+    let place = |name: &Option<::fleet::Name>| name.as_ref().map_or("-".to_owned(), ToString::to_string);
+    let ago = |at: Moment| format!("{:.1}", (now - at).secs());
+    let [standing, digest, size] = view;
+    [
+        record.name.to_string(),
+        record.state.to_string(),
+        record.incarnation.0.to_string(),
+        if known { "yes" } else { "no" }.to_owned(),
+        standing,
+        digest,
+        size,
+        record.address.to_string(),
+        place(&record.place.zone),
+        place(&record.place.region),
+        ago(since),
+        format!("{:016x}", record.life.0),
+        heard.map_or("-".to_owned(), ago),
+    ]
+}
+
 /// Columns of `SHOW SHARES`: what this gateway holds of each budget; at the steward then what the others hold.
 pub const SHARES: [&str; 14] = [
     "budget", "holder", "unit", "whole", "floor", "leased", "until_ms", "wanted", "spent", "allowed",
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -74,6 +74,26 @@
     fleet.settled(SOON, &fleet.everyone()).unwrap();
 }
 
+#[test]
+fn one_that_is_cut_off_serves_on_and_says_how_old_what_it_knows_is() {
+    let mut wanted = Wanted::new(PROGRAM, 5);
+    wanted.block += "\n  bounded = true";
+    let fleet = Fleet::start(wanted, &[]).unwrap();
+    fleet.settled(SOON, &fleet.everyone()).unwrap();
+    assert!(fleet.shown(0).unwrap().heard_s.unwrap() < 5.0);
+    let (one, others) = (vec![0], vec![1, 2, 3, 4]);
+    fleet.switch.faults(|faults| faults.partition(&[one.clone(), others.clone()]));
+    let cut_off = fleet.until(SOON, &one, |_, shown| shown.standing.starts_with("cut off"));
+    cut_off.unwrap();
+    serve(&fleet);
+    let old = fleet.shown(0).unwrap();
+    assert!(old.heard_s.unwrap() > 2.0 && old.rows.len() == 4, "{old:?}");
+    assert!(fleet.shown(1).unwrap().heard_s.unwrap() < old.heard_s.unwrap());
+    fleet.switch.faults(rig::switch::Faults::heal);
+    fleet.settled(SOON, &fleet.everyone()).unwrap();
+    assert!(fleet.shown(0).unwrap().heard_s.unwrap() < 5.0);
+}
+
 #[test]
 fn a_one_way_cut_takes_nobody_off_whom_others_reach() {
     let fleet = together(6);
@@ -346,7 +366,7 @@
     let bounded = fleet.folder().join("bounded.hcl").display().to_string();
     std::fs::write(&bounded, block.replacen("fleet {", "fleet {\n  bounded = true", 1)).unwrap();
     let check = String::from_utf8(run(&["check", "--operator", &bounded, &file("json")]).stdout).unwrap();
-    assert!(check.contains("bounded: 6 confirmations, 4 verifiers, 8 direct probes"), "{check}");
+    assert!(check.contains("bounded: 10 confirmations, 4 verifiers, 8 direct probes"), "{check}");
     // Off: no socket, and no word of it.
     let mut wanted = Wanted::new(PROGRAM, 1);
     wanted.fleet = false;
--- a/crates/lab/examples/membership.rs
+++ b/crates/lab/examples/membership.rs
@@ -106,9 +106,39 @@
             }
             "halves" => {
                 mesh.cut(|a, b| a % 2 != b % 2);
-                traffic(&mut mesh, "two halves apart", 120.0);
+                for _ in 0..6 {
+                    traffic(&mut mesh, "two halves apart", 20.0);
+                    let peers: Vec<_> = mesh.lives().into_iter().filter_map(|at| mesh.peer(at)).collect();
+                    let mean = |of: &dyn Fn(&Gateway) -> u64| {
+                        peers.iter().map(|peer| of(peer)).sum::<u64>() as f64 / peers.len() as f64
+                    };
+                    println!(
+                        "    in the mean suspected {:.1}, died {:.1}, size {:.1}, probes failed {:.1}, put off {:.1}",
+                        mean(&|peer| peer.tally.suspected),
+                        mean(&|peer| peer.tally.died),
+                        mean(&|peer| peer.size() as u64),
+                        mean(&|peer| peer.tally.probes_failed),
+                        mean(&|peer| peer.tally.bounded_probes)
+                    );
+                }
                 mesh.heal();
+                let healed = mesh.now;
                 settle(&mut mesh, "together again", 300.0);
+                let false_ones: Vec<_> =
+                    mesh.deaths.iter().filter(|death| death.false_one && death.at > healed).collect();
+                let other = |death: &&&lab::mesh::Death| death.by % 2 != death.of % 2;
+                let mut subjects: Vec<usize> = false_ones.iter().map(|death| death.of).collect();
+                subjects.sort_unstable();
+                subjects.dedup();
+                println!(
+                    "    {} false deaths since, {} of them of the other half, {} subjects, at {:?}",
+                    false_ones.len(),
+                    false_ones.iter().filter(other).count(),
+                    subjects.len(),
+                    [0, 1, 2, 3, 4].map(|part| false_ones
+                        .get(false_ones.len() * part / 5)
+                        .map(|death| (death.at - healed).round()))
+                );
             }
             other => panic!("no such case: {other}"),
         }
--- a/crates/lab/src/control/membership.rs
+++ b/crates/lab/src/control/membership.rs
@@ -59,7 +59,7 @@
     /// Their answers: it answered, and it did not.
     pub indirect_answered: u64,
     pub indirect_failed: u64,
-    /// Requests for a page of a table, and pages.
+    /// Requests for a page of a table or a comparison, and what answers them.
     pub page_requests: u64,
     pub pages: u64,
     pub other: u64,
@@ -326,8 +326,8 @@
             Body::Ask { .. } => &mut kinds.indirect_requests,
             Body::Passed(_) => &mut kinds.indirect_answered,
             Body::Silent(_) => &mut kinds.indirect_failed,
-            Body::Pull { .. } => &mut kinds.page_requests,
-            Body::Page { .. } => &mut kinds.pages,
+            Body::Pull { .. } | Body::Compare { .. } => &mut kinds.page_requests,
+            Body::Page { .. } | Body::Compared { .. } => &mut kinds.pages,
             Body::News | Body::Carried(_) => &mut kinds.other,
         } += 1;
     })
--- /dev/null
+++ b/crates/lab/tests/fleet_bounded.rs
@@ -0,0 +1,72 @@
+//! Membership with limits on what it sends, in simulated time: what it takes while much happens at once.
+
+use fleet::{Bounds, Gateway, Terms};
+use lab::mesh::{self, Mesh, gateways};
+
+/// Sent by one gateway a second in the mean, at most, whatever happens: half of 6 KB in both directions together, less some for
+/// leases.
+const MOST_SENT_BYTES_PER_S: f64 = 2_600.0;
+
+fn bounded() -> Terms {
+    Terms { bounds: Some(Bounds::default()), ..Terms::default() }
+}
+
+fn sent_bytes(mesh: &Mesh<Gateway>) -> u64 {
+    mesh.sent.iter().map(|sent| sent.1).sum()
+}
+
+/// Bytes that one gateway sends a second in the mean while this is done.
+fn sent_bytes_per_s(mesh: &mut Mesh<Gateway>, what: impl FnOnce(&mut Mesh<Gateway>)) -> f64 {
+    let (before, from) = (sent_bytes(mesh), mesh.now);
+    what(mesh);
+    (sent_bytes(mesh) - before) as f64 / (mesh.now - from).max(1.0) / mesh.len() as f64
+}
+
+fn started(count: usize, seed: u64) -> Mesh<Gateway> {
+    let mut mesh = gateways(count, seed, bounded());
+    mesh.start_all();
+    let sent = sent_bytes_per_s(&mut mesh, |mesh| {
+        assert!(mesh.settle(120.0).is_some(), "{count} never know each other");
+    });
+    assert!(sent < MOST_SENT_BYTES_PER_S, "{sent} bytes a second at the start of {count}");
+    let until = mesh.now + 30.0;
+    mesh.run(until);
+    mesh
+}
+
+#[test]
+fn two_halves_apart_for_two_minutes_meet_again_and_nobody_alive_is_held_for_dead() {
+    let mut mesh = started(120, 31);
+    mesh.cut(|from, to| from % 2 != to % 2);
+    let sent = sent_bytes_per_s(&mut mesh, |mesh| mesh.run(mesh.now + 120.0));
+    assert!(sent < MOST_SENT_BYTES_PER_S, "{sent} bytes a second while apart");
+    mesh.heal();
+    let met = mesh.now;
+    let sent = sent_bytes_per_s(&mut mesh, |mesh| {
+        assert!(mesh.settle(120.0).is_some(), "they do not find together");
+    });
+    assert!(sent < MOST_SENT_BYTES_PER_S, "{sent} bytes a second as they meet");
+    let false_ones: Vec<_> = mesh.deaths.iter().filter(|death| death.false_one && death.at > met).collect();
+    assert!(false_ones.is_empty(), "{} false deaths, the first {:?}", false_ones.len(), false_ones[0]);
+}
+
+#[test]
+fn a_third_lost_takes_nobody_off_and_few_bytes() {
+    let mut mesh = started(120, 32);
+    mesh.faults.lost = 1.0 / 3.0;
+    let sent = sent_bytes_per_s(&mut mesh, |mesh| mesh.run(mesh.now + 60.0));
+    assert!(sent < MOST_SENT_BYTES_PER_S, "{sent} bytes a second");
+    assert_eq!(mesh.false_deaths(), 0);
+}
+
+#[test]
+fn one_that_restarts_is_known_to_all_within_seconds() {
+    let mut mesh = started(120, 33);
+    mesh.leave(50);
+    assert!(mesh.settle(20.0).is_some(), "one has left");
+    mesh.start(50);
+    let known = mesh.settle(40.0);
+    assert!(known.is_some_and(|seconds| seconds < 20.0), "{known:?}");
+    mesh.run(mesh.now + 20.0);
+    assert!(mesh::together(&mesh));
+}
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -96,6 +96,8 @@
     pub standing: String,
     pub digest: String,
     pub size: usize,
+    /// Seconds since it heard from any other; `None`: never.
+    pub heard_s: Option<f64>,
     /// Without itself.
     pub rows: BTreeMap<String, Row>,
 }
@@ -408,7 +410,9 @@
         let Ok(Answer::Rows(rows)) = client.ask("SHOW FLEET") else { return None };
         let mut shown = Shown::default();
         for row in rows {
-            let [name, state, incarnation, known, standing, digest, size, ..] = &row[..] else { return None };
+            let [name, state, incarnation, known, standing, digest, size, .., heard] = &row[..] else {
+                return None;
+            };
             if standing.is_empty() {
                 let row = Row {
                     state: state.clone(),
@@ -419,6 +423,7 @@
             } else {
                 (shown.standing, shown.digest) = (standing.clone(), digest.clone());
                 shown.size = size.parse().ok()?;
+                shown.heard_s = heard.parse().ok();
             }
         }
         Some(shown)
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -1,64 +1,22 @@
 //! The small scale run: 60 hollow gateways beside two real processes, a rack of five that ends. Its bounds are some times
 //! what it takes, so that a regression breaks them and a loaded machine does not.
 
-use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+mod support;
+
 use std::time::{Duration, Instant};
 
-use serde_json::Value;
+use support::{number, scale, scale_report};
 
-const RIG: &str = env!("CARGO_BIN_EXE_laurelhitch-rig");
 /// Longest that the whole run may take.
 const WITHIN: Duration = Duration::from_secs(30);
 
-/// The gateway's program, built beside the rig's whenever the workspace's tests are.
-fn gateway() -> PathBuf {
-    let program = Path::new(RIG).with_file_name("laurelhitch");
-    assert!(program.is_file(), "{} is missing: cargo test --workspace builds it", program.display());
-    program
-}
-
-fn example(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/rig").join(name)
-}
-
-fn scale(arguments: &[&str]) -> Output {
-    Command::new(RIG).arg("scale").args(arguments).output().unwrap()
-}
-
-fn number(of: &Value, path: &str) -> f64 {
-    of.pointer(path).and_then(Value::as_f64).unwrap_or_else(|| panic!("{path} in {of:#}"))
-}
-
 #[test]
 fn sixty_hollow_beside_two_real_agree_again_after_a_rack_ends() {
-    let json = std::env::temp_dir().join(format!("laurelhitch-scale-{}.json", std::process::id()));
-    let (began, program) = (Instant::now(), gateway());
-    let (json_path, faults) = (json.display().to_string(), example("scale-small.hcl").display().to_string());
-    let out = scale(&[
-        "--hollow",
-        "60",
-        "--real",
-        "2",
-        "--regions",
-        "2",
-        "--zones",
-        "4",
-        "--seconds",
-        "8",
-        "--seed",
-        "1",
-        "--faults",
-        &faults,
-        "--json",
-        &json_path,
-        "--program",
-        &program.display().to_string(),
-    ]);
-    assert!(out.status.success(), "{out:?}");
+    let began = Instant::now();
+    let flags =
+        ["--hollow", "60", "--real", "2", "--regions", "2", "--zones", "4", "--seconds", "8", "--seed", "1"];
+    let report = scale_report("scale-small.hcl", &flags);
     assert!(began.elapsed() < WITHIN, "{:?}", began.elapsed());
-    let report: Value = serde_json::from_slice(&std::fs::read(&json).unwrap()).unwrap();
-    std::fs::remove_file(&json).unwrap();
     assert!(number(&report, "/start_agreed_s") < 8.0, "{report:#}");
     assert_eq!(number(&report, "/gateways"), 60.0);
     assert_eq!(number(&report, "/troubles/false_deaths"), 0.0, "{report:#}");
