--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -21,10 +21,10 @@
     fn default() -> Self {
         Bounds {
             confirmations: 10,
-            verifiers: 4,
+            verifiers: 8,
             direct_probes: 8,
-            gossip_bytes_per_s: 900.0,
-            exchange_bytes_per_s: 700.0,
+            gossip_bytes_per_s: 800.0,
+            exchange_bytes_per_s: 900.0,
         }
     }
 }
@@ -44,8 +44,8 @@
 pub(crate) const EXCHANGE_BURST_BYTES: f64 = 16_000.0;
 /// Bytes that one page, or one answer to a comparison, comes to at most.
 pub(crate) const PAGE_BYTES: f64 = 1_100.0;
-/// Bytes that one comparison comes to.
-pub(crate) const ASK_BYTES: f64 = 400.0;
+/// Bytes that one comparison comes to, by lists at the most.
+pub(crate) const ASK_BYTES: f64 = 500.0;
 /// Saved bytes above which the next comparison follows an answer at once.
 pub(crate) const ASK_AGAIN_BYTES: f64 = 4.0 * PAGE_BYTES;
 /// Direct probes a period of gateways that did not speak themselves, at most.
--- a/crates/fleet/src/buckets.rs
+++ b/crates/fleet/src/buckets.rs
@@ -30,6 +30,19 @@
     u64::from_le_bytes(std::array::from_fn(|at| hash[at]))
 }
 
+/// Records that one list names at most, so that a bit for each fits in one number.
+pub const LISTED: usize = 56;
+
+/// Hash of all that a record says but its state, cut to what nobody can find a second record for; by it records have an order.
+pub type ExactMark = [u8; 8];
+
+/// The mark as a number, in whose order lists go.
+pub(crate) fn exact_mark(record: &Record) -> u64 {
+    let plain = Record { state: State::Alive, ..record.clone() };
+    let hash = Sha256::digest(postcard::to_allocvec(&plain).expect("plain values"));
+    u64::from_be_bytes(std::array::from_fn(|at| hash[at]))
+}
+
 /// Buckets next to each other, from `first` on and around the end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Window {
--- a/crates/fleet/src/gateway/compare.rs
+++ b/crates/fleet/src/gateway/compare.rs
@@ -7,14 +7,15 @@
 use rand::RngExt;
 
 use super::Gateway;
+use super::lists::Lists;
 use crate::bounds::{ASK_AGAIN_BYTES, ASK_BYTES, CANDIDATES, STILL_PERIODS};
 use crate::buckets::{BUCKETS, BucketDigest, WINDOW, Window};
 use crate::message::{self, Body, Nonce};
 use crate::probes::some;
 use crate::who::{Name, Record, State};
 
-/// Periods between comparisons: what is asked and what is given out then come to the default budget.
-const COMPARE_PERIODS: f64 = 2.0;
+/// Periods between comparisons, as far as the budget goes.
+const COMPARE_PERIODS: f64 = 1.0;
 /// Comparisons of one window before the next one: by two hosts what differs is vouched for.
 const COMPARISONS: u32 = 2;
 /// Comparisons without an answer after which every other exchange asks for pages: older gateways know no comparison.
@@ -36,30 +37,44 @@
     /// The first bucket of the window, and how often it was compared.
     first: Option<usize>,
     compared: u32,
+    pub(super) lists: Lists,
     unanswered: u32,
     exchanges: u32,
 }
 
+impl Comparing {
+    /// An answer came: whoever gives them knows comparisons.
+    pub(super) fn answered(&mut self) {
+        self.unanswered = 0;
+    }
+}
+
 impl Gateway {
     /// The next exchange with one by chance.
     pub(super) fn compare(&mut self, now: Moment) {
         if !self.may_spend_exchange(now, ASK_BYTES) {
             return;
         }
-        let asked = self.comparing.out.as_ref().map(|out| out.to);
+        let asked = self.comparing.out.as_ref().map(|out| out.to).or(self.comparing.lists.asked());
         let all = self.table.fleet().map(|held| &held.record);
         let all = all.filter(|record| record.state == State::Alive && Some(record.address) != asked);
         let to = some(all, 1, &mut self.rng).first().map(|record| (record.address, record.name.clone()));
         let Some((to, name)) = to else { return };
         self.last_pull = now;
-        self.comparing.unanswered += u32::from(self.comparing.out.take().is_some());
+        let unanswered = self.comparing.out.take().is_some() || self.comparing.lists.give_up();
+        self.comparing.unanswered += u32::from(unanswered);
         self.comparing.exchanges = self.comparing.exchanges.wrapping_add(1);
         if self.comparing.unanswered >= UNANSWERED && self.comparing.exchanges.is_multiple_of(2) {
             let after = self.pull_after.clone();
             self.send(now, to, Some(&name), Body::Pull { after }, Vec::new());
             return;
         }
-        self.send_comparison(now, to, &name);
+        if self.comparing.lists.suit() {
+            self.send_list(now, to, &name);
+        } else {
+            self.send_comparison(now, to, &name);
+        }
+        self.take_back_unused(ASK_BYTES);
     }
 
     fn send_comparison(&mut self, now: Moment, to: SocketAddr, name: &Name) {
@@ -91,6 +106,7 @@
         let (records, covered) = self.differing(window, is_equal);
         self.tally.compared_for_others += 1;
         self.send(now, to, Some(name), Body::Compared { nonce, equal, covered }, records);
+        self.take_back_answer_unused();
     }
 
     /// Records of the buckets that differ, from the first on as far as they fit, and how many buckets that covers. Of a bucket
@@ -126,17 +142,18 @@
     pub(super) fn compared(&mut self, now: Moment, from: &Record, nonce: Nonce, equal: u32, covered: u8) {
         let out = self.comparing.out.take();
         let Some(out) = out.filter(|out| out.nonce == nonce && out.to == from.address) else { return };
-        self.comparing.unanswered = 0;
+        self.comparing.answered();
+        self.comparing.lists.judge(2 * equal.count_ones() as usize >= out.window.count);
         self.vouch_equal(now, from, &out, equal);
         self.comparing.compared += 1;
         let covered = usize::from(covered).clamp(1, out.window.count);
-        if covered == out.window.count || self.comparing.compared >= COMPARISONS {
+        let all_equal = equal.count_ones() as usize >= out.window.count;
+        if all_equal || self.comparing.compared >= COMPARISONS {
             self.comparing.first = Some(out.window.after(covered));
             self.comparing.compared = 0;
         }
         // What differed was told: the next one may be asked at once, as long as bytes were saved.
-        let told = equal.count_ones() < out.window.count as u32;
-        if told && self.exchange_bytes.left(now) >= ASK_AGAIN_BYTES {
+        if !all_equal && self.exchange_bytes.left(now) >= ASK_AGAIN_BYTES {
             self.compare(now);
         }
     }
@@ -155,12 +172,7 @@
             .filter(|(place, held)| held.candidate() && holds(*place))
             .map(|(_, held)| held.record.clone())
             .collect();
-        for record in vouched {
-            let name = record.name.clone();
-            self.tally.vouched_by_digest += 1;
-            self.table.witness(now, &from.name, from.address.ip(), record);
-            self.weigh(now, &name);
-        }
+        self.count_as_witness(now, from, vouched);
     }
 
     /// Periods until the next comparison; `None`: none is needed.
@@ -183,7 +195,7 @@
     }
 }
 
-fn take_room(room: &mut usize, record: &Record) -> bool {
+pub(super) fn take_room(room: &mut usize, record: &Record) -> bool {
     let size = message::size(record);
     let fits = size <= *room;
     *room -= if fits { size } else { 0 };
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -75,6 +75,19 @@
         self.terms.bounds.is_none() || self.may_spend_exchange(now, PAGE_BYTES)
     }
 
+    /// What was spent for an answer that came out smaller, with bounds.
+    pub(super) fn take_back_answer_unused(&mut self) {
+        if self.terms.bounds.is_some() {
+            self.take_back_unused(PAGE_BYTES);
+        }
+    }
+
+    /// The last datagram out was paid for with so many bytes: what it did not take comes back.
+    pub(super) fn take_back_unused(&mut self, spent: f64) {
+        let taken = self.out.last().map_or(spent, |datagram| datagram.bytes.len() as f64);
+        self.exchange_bytes.spend(taken - spent);
+    }
+
     /// With bounds: whether the budget of exchanges has so many bytes, which are spent by it.
     pub(super) fn may_spend_exchange(&mut self, now: Moment, bytes: f64) -> bool {
         let may = self.exchange_bytes.left(now) >= bytes;
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod gossip;
 mod identity;
+mod lists;
 mod probing;
 mod receive;
 mod send;
--- a/crates/fleet/src/gateway/receive.rs
+++ b/crates/fleet/src/gateway/receive.rs
@@ -6,7 +6,7 @@
 
 use super::Gateway;
 use super::send::CARRIED;
-use crate::buckets::Window;
+use crate::buckets::{LISTED, Window};
 use crate::engines::EngineNews;
 use crate::message::{self, Body, Message, Nonce, Refused, View};
 use crate::probes::Purpose;
@@ -78,7 +78,10 @@
             {
                 return Err(Refused::Form);
             }
-            Body::Pull { .. } | Body::Compare { .. } if !self.pages.take(now) || !self.may_give_page(now) => {
+            Body::List { marks, .. } if marks.len() > LISTED => return Err(Refused::Form),
+            Body::Pull { .. } | Body::Compare { .. } | Body::List { .. }
+                if !self.pages.take(now) || !self.may_give_page(now) =>
+            {
                 return Err(Refused::Many);
             }
             _ => None,
@@ -164,6 +167,10 @@
                 }
             }
             Body::Compared { nonce, equal, covered } => self.compared(now, from, nonce, equal, covered),
+            Body::List { nonce, from: first, marks } => {
+                self.answer_list(now, to, &from.name, nonce, first, &marks);
+            }
+            Body::Listed { nonce, held, until } => self.listed(now, from, nonce, held, until),
             _ => {}
         }
     }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::buckets::BucketDigest;
+use crate::buckets::{BucketDigest, ExactMark};
 use crate::engines::EngineNews;
 use crate::keys::{CODE, KeyMark, Ring};
 use crate::who::{Name, Record};
@@ -83,6 +83,20 @@
         equal: u32,
         covered: u8,
     },
+    /// Marks of all that I hold from this one on, in their order, up to the last: what do you hold there beside them, please.
+    /// Fewer than [`crate::buckets::LISTED`]: up to the end of all marks.
+    List {
+        nonce: Nonce,
+        from: u64,
+        marks: Vec<ExactMark>,
+    },
+    /// Which of these I hold as well, a bit each from the lowest; what I hold beside them stands among the message's records, as
+    /// far as it fits: up to this mark.
+    Listed {
+        nonce: Nonce,
+        held: u64,
+        until: u64,
+    },
 }
 
 /// A view of the fleet in short: two that agree hold the same gateways in the same lives.
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -49,5 +49,7 @@
     bounded_exchange: "parts of tables not asked for or not given, for want of budget",
     compared: "comparisons of some buckets of the table with another's, with bounds",
     compared_for_others: "comparisons that others asked for",
-    vouched_by_digest: "gateways that an equal bucket of another's table vouched for",
+    listed: "lists of some of the table sent to others, with bounds, where tables differ by much",
+    listed_for_others: "lists of others that were answered",
+    vouched_by_digest: "gateways that an equal bucket of another's table, or its mark in a list, vouched for",
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,13 +1,13 @@
 //! What one gateway holds of the others: who is known, on whose word, since when.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use admission::interface::{Moment, Span};
 
 use crate::buckets::{self, BucketDigest, Window, mark};
 use crate::message::{Seen, View};
-use crate::who::{Life, Name, Record, State};
+use crate::who::{Incarnation, Life, Name, Record, State};
 
 /// Voices kept about one gateway, the latest; and how long a witness counts.
 const WITNESSES: usize = 8;
@@ -50,6 +50,8 @@
     pub failed_looks: u8,
     /// Of name and life, as they go into the view's digest.
     mark: (Life, u64),
+    /// Of all that the record says but its state, and of which record.
+    exact_mark: Option<(Life, Incarnation, SocketAddr, u64)>,
 }
 
 impl Held {
@@ -66,6 +68,7 @@
             seen,
             failed_looks: 0,
             mark: (life, mark_of),
+            exact_mark: None,
         }
     }
 
@@ -78,6 +81,19 @@
         !self.known && self.record.state.counts()
     }
 
+    /// Hash of all that the record held now says but its state.
+    fn current_exact_mark(&mut self) -> u64 {
+        let of = (self.record.life, self.record.incarnation, self.record.address);
+        if let Some((life, incarnation, address, mark)) = self.exact_mark
+            && (life, incarnation, address) == of
+        {
+            return mark;
+        }
+        let mark = buckets::exact_mark(&self.record);
+        self.exact_mark = Some((of.0, of.1, of.2, mark));
+        mark
+    }
+
     /// Hash of the name and the life held now.
     fn current_mark(&mut self) -> u64 {
         if self.mark.0 != self.record.life {
@@ -113,7 +129,7 @@
         that: impl Fn(&Record) -> bool,
     ) -> Option<Record> {
         let fresh = |witness: &&Witness| now - witness.at < lasts && that(&witness.says);
-        let mut by: BTreeMap<(Life, std::net::SocketAddr), BTreeMap<IpAddr, &Record>> = BTreeMap::new();
+        let mut by: BTreeMap<(Life, SocketAddr), BTreeMap<IpAddr, &Record>> = BTreeMap::new();
         for witness in self.witnesses.values().filter(fresh) {
             let hosts = by.entry((witness.says.life, witness.says.address)).or_default();
             let best = hosts.entry(witness.host).or_insert(&witness.says);
@@ -301,6 +317,19 @@
         buckets::digests(window, held.chain(own))
     }
 
+    /// All that is held of marks from `from` to `until`, in the order of their marks.
+    pub(crate) fn in_range(&mut self, from: u64, until: u64) -> Vec<(u64, &Held)> {
+        let mut found = Vec::new();
+        for held in self.held.values_mut() {
+            let mark = held.current_exact_mark();
+            if (from..=until).contains(&mark) {
+                found.push((mark, &*held));
+            }
+        }
+        found.sort_by_key(|(mark, _)| *mark);
+        found
+    }
+
     /// All that is held in a window's buckets, each with its bucket, counted from the window's first.
     pub(crate) fn in_window(&mut self, window: Window) -> Vec<(usize, &Held)> {
         let mut placed = Vec::new();
--- a/crates/lab/examples/membership.rs
+++ b/crates/lab/examples/membership.rs
@@ -74,6 +74,26 @@
     for case in &arguments[2..] {
         match case.as_str() {
             "start" => settle(&mut mesh, "all starting in one second", 300.0),
+            "curve" => {
+                while mesh.settle(5.0).is_none() && mesh.now < 400.0 {
+                    let peers: Vec<_> = mesh.lives().into_iter().filter_map(|at| mesh.peer(at)).collect();
+                    let mean = |of: &dyn Fn(&Gateway) -> u64| {
+                        peers.iter().map(|peer| of(peer)).sum::<u64>() as f64 / peers.len() as f64
+                    };
+                    println!(
+                        "  {:.0} s: size {:.1}, candidates {:.1}, verified later {:.0}, put off {:.0}, compared {:.1}, listed {:.1}, vouched {:.1}, sent {:.0}",
+                        mesh.now,
+                        mean(&|peer| peer.size() as u64),
+                        mean(&|peer| peer.rows().filter(|row| !row.known).count() as u64),
+                        mean(&|peer| peer.tally.verified_later),
+                        mean(&|peer| peer.tally.bounded_probes),
+                        mean(&|peer| peer.tally.compared),
+                        mean(&|peer| peer.tally.listed),
+                        mean(&|peer| peer.tally.vouched_by_digest),
+                        mean(&|peer| peer.tally.sent_bytes)
+                    );
+                }
+            }
             "quiet" => mesh.run(mesh.now + 120.0),
             "rest" => traffic(&mut mesh, "at rest", 30.0),
             "lost" => {
--- a/crates/lab/src/control/membership.rs
+++ b/crates/lab/src/control/membership.rs
@@ -326,8 +326,8 @@
             Body::Ask { .. } => &mut kinds.indirect_requests,
             Body::Passed(_) => &mut kinds.indirect_answered,
             Body::Silent(_) => &mut kinds.indirect_failed,
-            Body::Pull { .. } | Body::Compare { .. } => &mut kinds.page_requests,
-            Body::Page { .. } | Body::Compared { .. } => &mut kinds.pages,
+            Body::Pull { .. } | Body::Compare { .. } | Body::List { .. } => &mut kinds.page_requests,
+            Body::Page { .. } | Body::Compared { .. } | Body::Listed { .. } => &mut kinds.pages,
             Body::News | Body::Carried(_) => &mut kinds.other,
         } += 1;
     })
