--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -312,8 +312,8 @@
     pub(crate) fn digests(&mut self, window: Window, own: &Record, candidates: bool) -> Vec<BucketDigest> {
         let counted = |held: &&mut Held| held.counts() || candidates && held.candidate();
         let held = self.held.values_mut().filter(counted);
-        let held = held.map(|held| (held.current_mark(), &held.record));
-        let own = (own.state == State::Alive).then(|| (mark(own), own));
+        let held = held.map(|held| (held.current_mark(), held.current_exact_mark()));
+        let own = (own.state == State::Alive).then(|| (mark(own), buckets::exact_mark(own)));
         buckets::digests(window, held.chain(own))
     }
 
--- a/deploy/laurelhitch.hcl
+++ b/deploy/laurelhitch.hcl
@@ -48,11 +48,11 @@
 #   answer_ms   = 300
 #   liars       = 1        # hearsay counts from one more host
 #   bounded     = true     # limits on what a large fleet sends; off without it. Its settings:
-#   confirmations = 6      # failed probes in a row, after the first, before a gateway is suspected
-#   verifiers   = 4        # of those that hear one witness, so many verify at once
+#   confirmations = 10     # failed probes in a row, after the first, before a gateway is suspected
+#   verifiers   = 8        # of those that hear one witness, so many verify at once
 #   direct_probes = 8      # begun a period
-#   gossip_bytes_per_s   = 1500
-#   exchange_bytes_per_s = 1000
+#   gossip_bytes_per_s   = 800
+#   exchange_bytes_per_s = 900
 #   cut_off_below = 0.5
 #   accept_ms   = 120000
 # }
