fleet: bounded asks another for a suspect, and probes whom it alone holds for dead

Checked in tests with hand-made words: a suspicion held by one gateway that cannot reach its subject was cleared by nobody, since suspects were asked directly only; and whom one alone holds for dead hears of it from nobody: others probe it without a word, tables say alive at the same incarnation, which does not beat dead (gossip.rs, says_nothing_new). Ruled out: calls to those that had gone mend it, but one in three seconds among all that have gone.

--- a/crates/fleet/src/gateway/bounded.rs
+++ b/crates/fleet/src/gateway/bounded.rs
@@ -9,7 +9,7 @@
 use super::send::RETELL;
 use super::{Gateway, Verification};
 use crate::bounds::{CONFIRMING, Confirming, REJOIN_BACKOFF, VERIFY_LATER_PERIODS};
-use crate::probes::{Purpose, some};
+use crate::probes::some;
 use crate::table::Held;
 use crate::who::{Name, State};
 
@@ -92,20 +92,16 @@
         }
     }
 
-    /// With bounds, one of those suspected is asked each period: an answer clears it, and the question tells it.
+    /// With bounds, one of those suspected is probed each period, by one other as well: an answer clears it, and the question tells
+    /// it.
     pub(super) fn probe_a_suspect(&mut self, now: Moment) {
         if self.terms.bounds.is_none() {
             return;
         }
         let suspects = self.table.fleet().filter(|held| held.record.state == State::Suspect);
         let suspects = suspects.map(|held| &held.record);
-        let Some((name, at)) =
-            some(suspects, 1, &mut self.rng).first().map(|record| (record.name.clone(), record.address))
-        else {
-            return;
-        };
-        if !self.probes.asks(&name) {
-            self.ask(now, Purpose::DirectProbe(name), at);
+        if let Some(name) = some(suspects, 1, &mut self.rng).first().map(|record| record.name.clone()) {
+            self.probe(now, &name);
         }
     }
 
--- a/crates/fleet/src/gateway/gossip.rs
+++ b/crates/fleet/src/gateway/gossip.rs
@@ -113,7 +113,7 @@
             return;
         }
         let name = word.name.clone();
-        if self.terms.bounds.is_some() && self.says_nothing_new(by, &word) {
+        if self.terms.bounds.is_some() && self.says_nothing_new(now, by, &word) {
             return;
         }
         if self.terms.bounds.is_some() && self.was_cut_off(now, by, &word) {
@@ -136,7 +136,7 @@
 
     /// With bounds: word that agrees with what is held, or that a gateway held alive rose meanwhile, needs no witnesses and
     /// no probe. What this witness said before is withdrawn by it.
-    fn says_nothing_new(&mut self, by: &Record, word: &Record) -> bool {
+    fn says_nothing_new(&mut self, now: Moment, by: &Record, word: &Record) -> bool {
         let Some(held) = self.table.get(&word.name).filter(|held| held.known) else { return false };
         let same_gateway = held.record.life == word.life && held.record.address == word.address;
         let both_alive = held.record.state == State::Alive && word.state == State::Alive && same_gateway;
@@ -148,6 +148,12 @@
             return false;
         }
         let equal = held.record == *word;
+        let alive_elsewhere = held.record.state == State::Dead && word.state == State::Alive && same_gateway;
+        if alive_elsewhere && word.incarnation == held.record.incarnation {
+            // Who is held for dead here alone is not told of it by anybody else: a probe tells it, and it rises.
+            let at = held.record.address;
+            self.verify(now, &word.name, at);
+        }
         self.table.withdraw(&by.name, &word.name);
         if equal && let Some(left) = self.updates.get_mut(&word.name) {
             // Others tell it too.
--- a/crates/fleet/src/gateway/probing.rs
+++ b/crates/fleet/src/gateway/probing.rs
@@ -85,7 +85,8 @@
         let Some(asked) = self.probes.get_mut(nonce) else { return };
         if let Purpose::Probe(name) = &asked.purpose
             && now < asked.over
-            && let count = helpers_of(&self.confirming, &self.terms, name)
+            && let suspected = self.table.get(name).is_some_and(|held| held.record.state == State::Suspect)
+            && let count = helpers_of(&self.confirming, &self.terms, name, suspected)
             && count > 0
         {
             // No answer to this gateway: others try before anything is said of it.
@@ -124,10 +125,11 @@
 }
 
 /// How many others are asked as well: with bounds, of a failed probe that is repeated, all for the last time only, and before
-/// that one for every second: repeats cost less, and whoever a third reaches is not suspected.
-fn helpers_of(confirming: &BTreeMap<Name, Confirming>, terms: &Terms, name: &Name) -> usize {
-    let Some((bounds, confirming)) = terms.bounds.as_ref().zip(confirming.get(name)) else {
-        return terms.helpers;
+/// that one for every second: repeats cost less, and whoever a third reaches is not suspected. Of a suspect one, each time.
+fn helpers_of(confirming: &BTreeMap<Name, Confirming>, terms: &Terms, name: &Name, suspected: bool) -> usize {
+    let Some(bounds) = &terms.bounds else { return terms.helpers };
+    let Some(confirming) = confirming.get(name) else {
+        return if suspected { terms.helpers.min(1) } else { terms.helpers };
     };
     match confirming.failures {
         failures if failures >= bounds.confirmations => terms.helpers,
--- a/crates/fleet/tests/bounded.rs
+++ b/crates/fleet/tests/bounded.rs
@@ -329,3 +329,92 @@
         receiver.receive(Moment::from_secs(world.now), by.address, &letter::seal(&ring(), &message));
     assert_eq!(refused, Err(fleet::Refused::Form));
 }
+
+/// The fleet that tells one of its gateways that a living one is dead, by four hosts, while the two don't reach each other;
+/// 35 others have really gone, so that calling those that have gone does not find the one that lives soon.
+struct FalseDeath {
+    world: World,
+    subject: Record,
+}
+
+impl FalseDeath {
+    const WRONG: usize = 7;
+    const SUBJECT: usize = 20;
+
+    fn new(seed: u64) -> FalseDeath {
+        let mut world = World::new(70, seed, |_| terms(Some(Bounds::default())));
+        assert!(world.settle(90.0).is_some(), "start");
+        world.run(30.0);
+        (35..70).for_each(|number| world.all[number] = None);
+        assert!(world.settle(120.0).is_some(), "35 dead");
+        let subject = world.all[Self::SUBJECT].as_ref().unwrap().own().clone();
+        FalseDeath { world, subject }
+    }
+
+    /// `vouched`: helpers of the wrong one may say that the subject answers them.
+    fn tell(&mut self, vouched: bool) {
+        let subject = self.subject.clone();
+        self.world.meddler = Some(Box::new(move |from, to, bytes| {
+            let pair = (from, to);
+            if pair == (Self::WRONG, Self::SUBJECT) || pair == (Self::SUBJECT, Self::WRONG) {
+                return bytes.clear();
+            }
+            if to != Self::WRONG {
+                return;
+            }
+            let mut message = letter::open(&ring(), &fleet_name(), bytes).unwrap();
+            if matches!(message.body, Body::Passed(_)) && !vouched {
+                return bytes.clear();
+            }
+            message.records.retain(|record| record.name != subject.name);
+            if from < 4 {
+                message.records.insert(0, Record { state: State::Dead, ..subject.clone() });
+            }
+            *bytes = letter::seal(&ring(), &message);
+        }));
+    }
+
+    /// The subject answers again, and says nothing of itself.
+    fn end(&mut self) {
+        self.world.meddler = Some(Box::new(|from, to, bytes| {
+            let message = letter::open(&ring(), &fleet_name(), bytes).unwrap();
+            if (from, to) == (Self::SUBJECT, Self::WRONG) && !matches!(message.body, Body::Ack(_)) {
+                bytes.clear();
+            }
+        }));
+    }
+
+    fn holds_dead(&self) -> bool {
+        let wrong = self.world.all[Self::WRONG].as_ref().unwrap();
+        wrong.held(&name(Self::SUBJECT)).unwrap().record.state == State::Dead
+    }
+
+    /// Whether it holds the subject for dead at some time in these seconds.
+    fn comes_to_hold_dead(&mut self, seconds: usize) -> bool {
+        (0..seconds).any(|_| {
+            self.world.run(1.0);
+            self.holds_dead()
+        })
+    }
+}
+
+#[test]
+fn a_false_death_that_one_gateway_alone_holds_is_mended_by_comparing_tables() {
+    for seed in 13..17 {
+        let mut case = FalseDeath::new(seed);
+        case.tell(false);
+        assert!(case.comes_to_hold_dead(120), "seed {seed}: it never holds the subject for dead");
+        case.end();
+        case.world.run(30.0);
+        assert!(!case.holds_dead(), "seed {seed}: the others hold it for alive, and were compared with");
+    }
+}
+
+#[test]
+fn a_suspect_whom_another_reaches_is_not_held_for_dead() {
+    for seed in 13..17 {
+        let mut case = FalseDeath::new(seed);
+        case.tell(true);
+        assert!(!case.comes_to_hold_dead(120), "seed {seed}");
+    }
+}
--- a/crates/lab/tests/fleet_bounded.rs
+++ b/crates/lab/tests/fleet_bounded.rs
@@ -2,6 +2,8 @@
 
 use fleet::{Bounds, Gateway, Terms};
 use lab::mesh::{self, Mesh, gateways};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 /// Sent by one gateway a second in the mean, at most, whatever happens: half of 6 KB in both directions together, less some for
 /// leases.
@@ -70,3 +72,53 @@
     mesh.run(mesh.now + 20.0);
     assert!(mesh::together(&mesh));
 }
+
+/// What may happen next, by chance.
+fn trouble(mesh: &mut Mesh<Gateway>, rng: &mut Pcg64Mcg) {
+    let at = rng.random_range(0..mesh.len());
+    match rng.random_range(0..6) {
+        0 if mesh.lives().len() > mesh.len() / 2 => mesh.kill(at),
+        1 if mesh.lives().contains(&at) => mesh.leave(at),
+        2 if !mesh.lives().contains(&at) => mesh.start(at),
+        3 => {
+            let part = rng.random_range(2..5);
+            mesh.cut(move |from, to| (from % part == 0) != (to % part == 0));
+        }
+        4 => mesh.faults.lost = 1.0 / 3.0,
+        _ => {
+            mesh.heal();
+            mesh.faults.lost = 0.0;
+        }
+    }
+}
+
+#[test]
+fn whatever_happens_in_whatever_order_ends_in_one_view() {
+    for seed in 0..12 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut mesh = started(24, 100 + seed);
+        for _ in 0..8 {
+            trouble(&mut mesh, &mut rng);
+            let until = mesh.now + rng.random_range(1.0..25.0);
+            mesh.run(until);
+        }
+        mesh.heal();
+        mesh.faults.lost = 0.0;
+        let settled = mesh.settle(180.0);
+        assert!(settled.is_some(), "seed {seed}: no one view 180 s after the last trouble");
+        let until = mesh.now + 20.0;
+        mesh.run(until);
+        assert!(mesh.agreed(), "seed {seed}: it does not last");
+    }
+}
+
+#[test]
+fn two_regions_apart_that_reach_the_others_hold_nobody_for_dead() {
+    let mut mesh = started(160, 34);
+    mesh.cut(|from, to| matches!((from % 4, to % 4), (0, 1) | (1, 0)));
+    mesh.run(mesh.now + 120.0);
+    mesh.heal();
+    let settled = mesh.settle(60.0);
+    assert_eq!(mesh.false_deaths(), 0, "of gateways that others reach");
+    assert!(settled.is_some(), "no one view a minute after");
+}
