--- /dev/null
+++ b/crates/gateway/tests/support/faults.rs
@@ -0,0 +1,288 @@
+//! A gateway whose system calls fail as a plan says, and the life that it has to lead all the same.
+
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use process_harness::system_calls::libc::{self, c_long};
+use process_harness::system_calls::{
+    Effect, Errno, FaultPlan, ProcessEnd, Signal, SystemCall, TracedProcess,
+};
+use stand_ins::board::Board;
+use stand_ins::client::{Answer, Client, login_packet, packet, query_packet};
+use stand_ins::engine::Engine;
+
+use super::{Configured, commented, configure, engine, millis, tell_engines};
+
+/// A gateway has to be ready so soon after its start.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+/// Budget of each statement: its client is owed an answer by then.
+const BUDGET: Duration = Duration::from_secs(5);
+/// After SIGTERM it ends by then, with no statement open.
+const ENDS_WITHIN: Duration = Duration::from_secs(6);
+
+const COM_PING: [u8; 1] = [0x0e];
+
+/// The first system call of the program's own; all before it are the loader's and the language's.
+const FIRST_OWN_CALL: c_long = libc::SYS_signalfd4;
+
+/// What may go wrong with a call for a moment, by the calls' manual pages.
+pub(crate) const TRANSIENT_ERRORS: &[(c_long, &[Errno])] = &[
+    (libc::SYS_accept4, ACCEPT_ERRORS),
+    (libc::SYS_bind, &[Errno::EADDRINUSE, Errno::EADDRNOTAVAIL]),
+    (libc::SYS_connect, CONNECT_ERRORS),
+    (libc::SYS_epoll_create1, &[Errno::ENFILE]),
+    (libc::SYS_epoll_ctl, &[Errno::ENOMEM]),
+    (libc::SYS_epoll_pwait, &[Errno::EINTR]),
+    (libc::SYS_epoll_pwait2, &[Errno::EINTR]),
+    (libc::SYS_eventfd2, &[Errno::ENFILE]),
+    (libc::SYS_getpeername, &[Errno::ENOBUFS]),
+    (libc::SYS_getrandom, &[Errno::EINTR]),
+    (libc::SYS_getsockopt, &[Errno::ENOBUFS]),
+    (libc::SYS_listen, &[Errno::EADDRINUSE]),
+    (libc::SYS_openat, &[Errno::EINTR, Errno::ENFILE, Errno::EIO]),
+    (libc::SYS_poll, &[Errno::EINTR, Errno::ENOMEM]),
+    (libc::SYS_read, &[Errno::EINTR, Errno::EIO]),
+    (libc::SYS_recvfrom, &[Errno::EINTR, Errno::ENOMEM]),
+    (libc::SYS_sendto, &[Errno::EINTR, Errno::ENOBUFS]),
+    (libc::SYS_setsockopt, &[Errno::ENOBUFS]),
+    (libc::SYS_signalfd4, &[Errno::ENFILE, Errno::ENOMEM]),
+    (libc::SYS_socket, &[Errno::ENFILE, Errno::ENOBUFS]),
+    (libc::SYS_statx, &[Errno::EIO]),
+    (libc::SYS_timerfd_create, &[Errno::ENFILE]),
+    (libc::SYS_write, WRITE_ERRORS),
+];
+
+pub(crate) const ACCEPT_ERRORS: &[Errno] = &[
+    Errno::EINTR,
+    Errno::ECONNABORTED,
+    Errno::ENFILE,
+    Errno::ENOBUFS,
+    Errno::EPROTO,
+    Errno::ENETDOWN,
+];
+
+pub(crate) const CONNECT_ERRORS: &[Errno] = &[
+    Errno::EINTR,
+    Errno::EADDRNOTAVAIL,
+    Errno::ENETUNREACH,
+    Errno::ETIMEDOUT,
+];
+
+pub(crate) const WRITE_ERRORS: &[Errno] = &[Errno::EINTR, Errno::EAGAIN, Errno::EIO, Errno::ENOSPC];
+
+/// Whether the program's own calls have begun.
+#[derive(Default)]
+pub(crate) struct OwnCalls {
+    begun: bool,
+}
+
+impl OwnCalls {
+    pub(crate) fn contain(&mut self, call: &SystemCall) -> bool {
+        self.begun |= call.number == FIRST_OWN_CALL;
+        self.begun
+    }
+}
+
+/// Notes the number of each call of the program's own, and changes nothing.
+pub(crate) fn recorded(calls: Arc<Mutex<Vec<c_long>>>) -> impl FaultPlan {
+    let mut own_calls = OwnCalls::default();
+    move |call: &SystemCall| {
+        if own_calls.contain(call) {
+            calls.lock().unwrap().push(call.number);
+        }
+        Effect::Proceed
+    }
+}
+
+/// One failure of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SingleFault {
+    pub number: c_long,
+    /// Which one of the program's own calls of this number, from one.
+    pub occurrence: usize,
+    pub errno: Errno,
+}
+
+impl SingleFault {
+    pub(crate) fn plan(self) -> impl FaultPlan {
+        let mut own_calls = OwnCalls::default();
+        let mut seen = 0;
+        move |call: &SystemCall| {
+            if !own_calls.contain(call) || call.number != self.number {
+                return Effect::Proceed;
+            }
+            seen += 1;
+            if seen == self.occurrence {
+                Effect::Fail(self.errno)
+            } else {
+                Effect::Proceed
+            }
+        }
+    }
+}
+
+/// An engine and a discovery service that many gateways share, one after the other or side by side.
+pub(crate) struct Surroundings {
+    board: Board,
+    _engine: Engine,
+}
+
+/// What a life under faults has come to.
+#[derive(Debug)]
+pub(crate) struct Life {
+    pub outcome: Result<(), String>,
+    pub log: String,
+}
+
+/// One gateway under a plan.
+pub(crate) struct FaultyGateway {
+    process: TracedProcess,
+    config: PathBuf,
+    pub listen: SocketAddr,
+    started: Instant,
+}
+
+impl Surroundings {
+    pub(crate) fn new() -> Self {
+        let board = Board::start("127.0.0.1:0").unwrap();
+        let engine = engine(1);
+        tell_engines(&board, &[engine.address]);
+        Surroundings {
+            board,
+            _engine: engine,
+        }
+    }
+
+    pub(crate) fn start(&self, plan: impl FaultPlan) -> FaultyGateway {
+        let Configured { path, listen } = configure(&self.board, "", |_| {});
+        let process = TracedProcess::spawn(command(&path), plan).unwrap();
+        FaultyGateway {
+            process,
+            config: path,
+            listen,
+            started: Instant::now(),
+        }
+    }
+
+    /// A whole life under a plan: a start, statements, a reload, counters, a drain and an end. Each client that the machine
+    /// has connected gets an answer to all it sends.
+    pub(crate) fn live(&self, plan: impl FaultPlan) -> Life {
+        let mut gateway = self.start(plan);
+        let mut stderr = gateway.process.stderr.take().unwrap();
+        let log = std::thread::spawn(move || {
+            let mut log = String::new();
+            let _ = stderr.read_to_string(&mut log);
+            log
+        });
+        let outcome = gateway.lead_life();
+        drop(gateway);
+        let log = log.join().unwrap();
+        Life { outcome, log }
+    }
+}
+
+fn command(config: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_laurelhitch"));
+    command
+        .env("RELAY_CONFIG", config)
+        .env_remove("LAURELHITCH_OPERATOR")
+        .stderr(Stdio::piped());
+    command
+}
+
+impl FaultyGateway {
+    fn lead_life(&self) -> Result<(), String> {
+        let mut first = self.connect_when_it_listens(&packet(0, &COM_PING))?;
+        expect_ok(&mut first, "ping")?;
+        ask(&mut first, "first statement")?;
+        let mut second = self.connect_when_it_listens(&query())?;
+        expect_answer(second.answer(), "statement behind its login")?;
+        self.process.signal(Signal::SIGHUP);
+        self.process.signal(Signal::SIGUSR1);
+        ask(&mut first, "statement after a reload")?;
+        self.process.signal(Signal::SIGTERM);
+        ask(&mut first, "statement after SIGTERM")?;
+        drop((first, second));
+        self.expect_end()
+    }
+
+    /// Logs in at once and sends `commands` behind that, as soon as the machine takes a connection.
+    pub(crate) fn connect_when_it_listens(&self, commands: &[u8]) -> Result<Client, String> {
+        let both = [&login_packet("app", b"", "warehouse")[..], commands].concat();
+        loop {
+            match Client::open(self.listen, &both) {
+                Ok(mut client) => {
+                    let timeout = client.stream.set_read_timeout(Some(BUDGET));
+                    timeout.map_err(|error| error.to_string())?;
+                    expect_ok(&mut client, "login")?;
+                    return Ok(client);
+                }
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
+                Err(error) => return Err(format!("connection lost: {error}")),
+            }
+            if let Some(end) = self.process.wait(millis(10)) {
+                return Err(format!("ended before it was ready: {end:?}"));
+            }
+            if self.started.elapsed() > READY_WITHIN {
+                return Err("not ready in time".to_owned());
+            }
+        }
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        self.process.signal(signal);
+    }
+
+    pub(crate) fn expect_end(&self) -> Result<(), String> {
+        match self.process.wait(ENDS_WITHIN) {
+            Some(ProcessEnd::Exited(0)) => Ok(()),
+            Some(end) => Err(format!("ended by {end:?}")),
+            None => Err("did not end after SIGTERM".to_owned()),
+        }
+    }
+}
+
+impl Drop for FaultyGateway {
+    fn drop(&mut self) {
+        self.process.signal(Signal::SIGKILL);
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn query() -> Vec<u8> {
+    query_packet(&commented(BUDGET.as_millis() as u64, "SELECT 1"))
+}
+
+/// Sends a statement and waits for its answer.
+pub(crate) fn ask(client: &mut Client, what: &str) -> Result<(), String> {
+    client
+        .stream
+        .write_all(&query())
+        .map_err(|error| format!("{what}: not taken: {error}"))?;
+    expect_answer(client.answer(), what)
+}
+
+/// Any answer is one: rows, a rejection or a failure.
+fn expect_answer(answer: io::Result<Answer>, what: &str) -> Result<(), String> {
+    answer
+        .map(drop)
+        .map_err(|error| format!("{what}: no answer: {error}"))
+}
+
+fn expect_ok(client: &mut Client, what: &str) -> Result<(), String> {
+    match client.answer() {
+        Ok(Answer::Ok) => Ok(()),
+        Ok(other) => Err(format!("{what}: {other:?}")),
+        Err(error) => Err(format!("{what}: no answer: {error}")),
+    }
+}
+
+/// Waits a little, for something that is to happen by itself.
+pub(crate) fn pause() {
+    sleep(millis(10));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod clients;
+pub(crate) mod faults;
 pub(crate) mod script;
 
 use std::io::{BufRead, BufReader, Read};
@@ -62,6 +63,41 @@
     command.spawn().unwrap()
 }
 
+/// A configuration that was written for one gateway.
+pub(crate) struct Configured {
+    pub path: PathBuf,
+    pub listen: SocketAddr,
+}
+
+/// Lists these engines, and no others.
+pub(crate) fn tell_engines(board: &Board, engines: &[SocketAddr]) {
+    let names = engines.iter().enumerate();
+    let targets = names.map(|(at, address)| target(&format!("e-{at}"), *address, "in_service"));
+    board.tell(true, targets.collect());
+}
+
+/// Writes the configuration of a gateway that knows the engines listed by now, and its operator's file unless that is empty.
+pub(crate) fn configure(
+    board: &Board,
+    operator: &str,
+    change: impl FnOnce(&mut Value),
+) -> Configured {
+    let listen = free_address();
+    let mut config: Value =
+        serde_json::from_str(include_str!("../../../../examples/config.json")).unwrap();
+    config["listen"] = json!(listen.to_string());
+    config["board"] = json!(board.address.to_string());
+    config["known"] = board.known();
+    change(&mut config);
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("laurelhitch-{}-{run}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).unwrap();
+    if !operator.is_empty() {
+        std::fs::write(path.with_extension("hcl"), operator).unwrap();
+    }
+    Configured { path, listen }
+}
+
 impl Gateway {
     pub(crate) fn before(engines: &[SocketAddr]) -> Self {
         Self::with(engines, |_| {})
@@ -87,23 +123,9 @@
         operator: &str,
         change: impl FnOnce(&mut Value),
     ) -> Self {
-        let (board, listen) = (Board::start("127.0.0.1:0").unwrap(), free_address());
-        let names = engines.iter().enumerate();
-        let targets = names.map(|(at, address)| target(&format!("e-{at}"), *address, "in_service"));
-        board.tell(true, targets.collect());
-        let mut config: Value =
-            serde_json::from_str(include_str!("../../../../examples/config.json")).unwrap();
-        config["listen"] = json!(listen.to_string());
-        config["board"] = json!(board.address.to_string());
-        config["known"] = board.known();
-        change(&mut config);
-        let run = RUNS.fetch_add(1, Ordering::Relaxed);
-        let path =
-            std::env::temp_dir().join(format!("laurelhitch-{}-{run}.json", std::process::id()));
-        std::fs::write(&path, config.to_string()).unwrap();
-        if !operator.is_empty() {
-            std::fs::write(path.with_extension("hcl"), operator).unwrap();
-        }
+        let board = Board::start("127.0.0.1:0").unwrap();
+        tell_engines(&board, engines);
+        let Configured { path, listen } = configure(&board, operator, change);
         let (log, lines) = (String::new(), None);
         let gateway = Gateway {
             child: spawn(&path),
--- /dev/null
+++ b/crates/gateway/tests/system_calls.rs
@@ -0,0 +1,252 @@
+//! System calls that fail in the ways that Linux documents, and a log that cannot be written: neither ends a gateway, keeps
+//! it from starting, nor costs a client its answer.
+
+#![cfg(all(target_os = "linux", target_arch = "x86_64"))]
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::os::fd::{AsFd, OwnedFd};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use process_harness::system_calls::libc::{self, c_long};
+use process_harness::system_calls::{Effect, Errno, FaultPlan, SystemCall};
+use rustix::fs::{OFlags, fcntl_setfl};
+use rustix::process::{Pid, Signal, kill_process};
+use stand_ins::board::Board;
+
+use support::faults::*;
+use support::*;
+
+/// Lives that are led side by side.
+const WORKERS: usize = 6;
+
+/// Of the calls of one kind so many are failed, from the first: the later ones come in no other place.
+const MAX_OCCURRENCES: usize = 12;
+
+/// Leads a life for each fault, a few side by side; the faults that broke one, with what was seen.
+fn broken_by<F, P>(faults: &[F], plan: impl Fn(&F) -> P + Sync) -> Vec<String>
+where
+    F: std::fmt::Debug + Sync,
+    P: FaultPlan,
+{
+    let surroundings = Surroundings::new();
+    let next = AtomicUsize::new(0);
+    let broken = Mutex::new(Vec::new());
+    let work = || {
+        while let Some(fault) = faults.get(next.fetch_add(1, Ordering::Relaxed)) {
+            let life = surroundings.live(plan(fault));
+            if let Err(why) = life.outcome {
+                let last_lines: Vec<&str> = life.log.lines().rev().take(3).collect();
+                let line = format!("{fault:?}: {why}; last lines of its log: {last_lines:?}");
+                broken.lock().unwrap().push(line);
+            }
+        }
+    };
+    thread::scope(|scope| {
+        for _ in 0..WORKERS {
+            scope.spawn(work);
+        }
+    });
+    broken.into_inner().unwrap()
+}
+
+/// Each call that a life without faults makes, with each error that it may return for a moment.
+fn single_faults() -> Vec<SingleFault> {
+    let calls = Arc::new(Mutex::new(Vec::new()));
+    let life = Surroundings::new().live(recorded(calls.clone()));
+    life.outcome.unwrap();
+    let mut occurrences: BTreeMap<c_long, usize> = BTreeMap::new();
+    for number in calls.lock().unwrap().iter() {
+        *occurrences.entry(*number).or_default() += 1;
+    }
+    let mut faults = Vec::new();
+    for (number, errors) in TRANSIENT_ERRORS {
+        let made = occurrences.get(number).copied().unwrap_or_default();
+        for occurrence in 1..=made.min(MAX_OCCURRENCES) {
+            for errno in *errors {
+                faults.push(SingleFault {
+                    number: *number,
+                    occurrence,
+                    errno: *errno,
+                });
+            }
+        }
+    }
+    faults
+}
+
+#[test]
+fn no_single_failure_of_a_system_call_ends_the_gateway_or_loses_a_statement() {
+    let faults = single_faults();
+    assert!(faults.len() > 100, "{} faults", faults.len());
+    let broken = broken_by(&faults, |fault| fault.plan());
+    assert!(
+        broken.is_empty(),
+        "{} of {}:\n{}",
+        broken.len(),
+        faults.len(),
+        broken.join("\n")
+    );
+}
+
+/// A kind of call that fails from the start on, for a while.
+#[derive(Clone, Copy, Debug)]
+struct LastingFault {
+    number: c_long,
+    errno: Errno,
+    lasts: Duration,
+}
+
+impl LastingFault {
+    fn plan(self) -> impl FaultPlan {
+        let mut own_calls = OwnCalls::default();
+        let started = Instant::now();
+        move |call: &SystemCall| {
+            let applies = own_calls.contain(call) && call.number == self.number;
+            if applies && started.elapsed() < self.lasts {
+                Effect::Fail(self.errno)
+            } else {
+                Effect::Proceed
+            }
+        }
+    }
+}
+
+#[test]
+fn failures_that_last_a_while_end_nothing() {
+    let lasting = |number, errno| LastingFault {
+        number,
+        errno,
+        lasts: Duration::from_secs(2),
+    };
+    let faults = [
+        lasting(libc::SYS_accept4, Errno::ENFILE),
+        lasting(libc::SYS_accept4, Errno::ENOBUFS),
+        lasting(libc::SYS_bind, Errno::EADDRINUSE),
+        lasting(libc::SYS_bind, Errno::EADDRNOTAVAIL),
+        lasting(libc::SYS_connect, Errno::EADDRNOTAVAIL),
+        lasting(libc::SYS_connect, Errno::ENETUNREACH),
+        lasting(libc::SYS_epoll_create1, Errno::EMFILE),
+        lasting(libc::SYS_epoll_ctl, Errno::ENOMEM),
+        lasting(libc::SYS_eventfd2, Errno::ENFILE),
+        lasting(libc::SYS_listen, Errno::EADDRINUSE),
+        lasting(libc::SYS_openat, Errno::ENFILE),
+        lasting(libc::SYS_openat, Errno::EIO),
+        lasting(libc::SYS_read, Errno::EIO),
+        lasting(libc::SYS_sendto, Errno::ENOBUFS),
+        lasting(libc::SYS_signalfd4, Errno::ENFILE),
+        lasting(libc::SYS_socket, Errno::ENFILE),
+        lasting(libc::SYS_socket, Errno::ENOBUFS),
+        lasting(libc::SYS_timerfd_create, Errno::ENFILE),
+        lasting(libc::SYS_write, Errno::EAGAIN),
+        lasting(libc::SYS_write, Errno::ENOSPC),
+    ];
+    let broken = broken_by(&faults, |fault| fault.plan());
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Where a log goes that cannot be written.
+#[derive(Clone, Copy, Debug)]
+enum Unwritable {
+    /// The disk is full.
+    FullDisk,
+    /// Whoever read it has gone.
+    NobodyReads,
+    /// Whoever reads it is behind, and the pipe refuses more.
+    FullPipe,
+    /// Whoever reads it is behind, and a write would wait for it.
+    FullPipeThatBlocks,
+}
+
+/// The log's descriptor, and what keeps it as it is.
+fn unwritable(kind: Unwritable) -> (OwnedFd, Option<OwnedFd>) {
+    if let Unwritable::FullDisk = kind {
+        let full = File::options().write(true).open("/dev/full").unwrap();
+        return (full.into(), None);
+    }
+    let (reader, writer) = rustix::pipe::pipe().unwrap();
+    if let Unwritable::NobodyReads = kind {
+        return (writer, None);
+    }
+    fcntl_setfl(writer.as_fd(), OFlags::NONBLOCK).unwrap();
+    while rustix::io::write(&writer, &[b'x'; 512]).is_ok() {}
+    if let Unwritable::FullPipeThatBlocks = kind {
+        fcntl_setfl(writer.as_fd(), OFlags::empty()).unwrap();
+    }
+    (writer, Some(reader))
+}
+
+fn signal(child: &Child, signal: Signal) {
+    kill_process(Pid::from_child(child), signal).unwrap();
+}
+
+/// Serves with such a log, from its start to its end.
+fn serve_with_log(kind: Unwritable) -> Result<(), String> {
+    let (log, _kept) = unwritable(kind);
+    let engine = engine(1);
+    let board = Board::start("127.0.0.1:0").unwrap();
+    tell_engines(&board, &[engine.address]);
+    let Configured { path, listen } = configure(&board, "", |_| {});
+    let mut child = Command::new(env!("CARGO_BIN_EXE_laurelhitch"))
+        .env("RELAY_CONFIG", &path)
+        .stderr(Stdio::from(log))
+        .spawn()
+        .unwrap();
+    let until = Instant::now() + Duration::from_secs(10);
+    let outcome = loop {
+        if let Some(status) = child.try_wait().unwrap() {
+            break Err(format!("{kind:?}: ended before it was ready: {status}"));
+        }
+        match stand_ins::client::Client::login(listen) {
+            Ok(mut client) => {
+                signal(&child, Signal::USR1);
+                signal(&child, Signal::HUP);
+                let mut answered = ask(&mut client, "a statement after a signal");
+                signal(&child, Signal::TERM);
+                answered = answered.and_then(|()| ask(&mut client, "a statement after SIGTERM"));
+                drop(client);
+                break answered.map_err(|why| format!("{kind:?}: {why}"));
+            }
+            Err(_) if Instant::now() > until => break Err(format!("{kind:?}: never ready")),
+            Err(_) => pause(),
+        }
+    };
+    let outcome = outcome.and_then(|()| expect_clean_exit(kind, &mut child));
+    let _ = child.kill();
+    let _ = child.wait();
+    std::fs::remove_file(path).unwrap();
+    outcome
+}
+
+fn expect_clean_exit(kind: Unwritable, child: &mut Child) -> Result<(), String> {
+    let until = Instant::now() + Duration::from_secs(6);
+    loop {
+        match child.try_wait().unwrap() {
+            Some(status) if status.success() => return Ok(()),
+            Some(status) => return Err(format!("{kind:?}: ended by {status}")),
+            None if Instant::now() > until => return Err(format!("{kind:?}: did not end")),
+            None => pause(),
+        }
+    }
+}
+
+#[test]
+fn a_log_that_cannot_be_written_ends_nothing() {
+    let kinds = [
+        Unwritable::FullDisk,
+        Unwritable::NobodyReads,
+        Unwritable::FullPipe,
+        Unwritable::FullPipeThatBlocks,
+    ];
+    let broken: Vec<String> = kinds
+        .into_iter()
+        .filter_map(|kind| serve_with_log(kind).err())
+        .collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/crates/process_harness/src/lib.rs
+++ b/crates/process_harness/src/lib.rs
@@ -6,3 +6,5 @@
 pub mod scale;
 pub mod script;
 pub mod switch;
+#[cfg(all(target_os = "linux", target_arch = "x86_64"))]
+pub mod system_calls;
--- /dev/null
+++ b/crates/process_harness/src/system_calls.rs
@@ -0,0 +1,237 @@
+//! Makes chosen system calls of a process fail, or do only a part of their work, as Linux documents that they may.
+//!
+//! The process runs under ptrace, which needs no special rights for a child of one's own. A [`FaultPlan`] sees each call
+//! before the kernel does, so the k-th call of a kind fails in the same way at each run. Threads that the process starts
+//! run untraced.
+
+use std::io;
+use std::os::unix::process::CommandExt;
+use std::process::{ChildStderr, Command};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+pub use nix::errno::Errno;
+pub use nix::libc;
+pub use nix::sys::signal::Signal;
+
+use nix::sys::ptrace;
+use nix::sys::signal::kill;
+use nix::sys::wait::{WaitStatus, waitpid};
+use nix::unistd::Pid;
+
+/// The value that the kernel takes for "no call": it skips the one that is about to be made.
+const SKIPPED_CALL: u64 = u64::MAX;
+
+/// A system call that the process is about to make.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SystemCall {
+    /// Its number, one of `libc::SYS_*`.
+    pub number: libc::c_long,
+    /// Its arguments, in the kernel's order.
+    pub arguments: [u64; 6],
+}
+
+/// What becomes of a system call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// The kernel makes it.
+    Proceed,
+    /// It is not made, and returns this error.
+    Fail(Errno),
+    /// It is made with its third argument, the length of a buffer, cut to this many bytes.
+    Shorten(u64),
+}
+
+/// Decides what becomes of each system call of a process.
+pub trait FaultPlan: Send + 'static {
+    /// Called before each system call, in the order in which they are made.
+    fn effect(&mut self, call: &SystemCall) -> Effect;
+}
+
+impl<F> FaultPlan for F
+where
+    F: FnMut(&SystemCall) -> Effect + Send + 'static,
+{
+    fn effect(&mut self, call: &SystemCall) -> Effect {
+        self(call)
+    }
+}
+
+/// How a process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessEnd {
+    /// It exited with this status.
+    Exited(i32),
+    /// This signal ended it.
+    Signaled(Signal),
+}
+
+/// A process under a [`FaultPlan`]; it is killed when this is dropped.
+pub struct TracedProcess {
+    pid: Pid,
+    /// Its standard error, where the command pipes it.
+    pub stderr: Option<ChildStderr>,
+    end: Receiver<ProcessEnd>,
+}
+
+struct Started {
+    pid: Pid,
+    stderr: Option<ChildStderr>,
+}
+
+impl TracedProcess {
+    /// Starts a program; the plan sees its calls from the end of `execve` on.
+    ///
+    /// # Errors
+    ///
+    /// The program cannot be started.
+    pub fn spawn(command: Command, plan: impl FaultPlan) -> io::Result<Self> {
+        let (tell_start, start) = channel();
+        let (tell_end, end) = channel();
+        // The thread that starts the process is its tracer: no other may make requests of ptrace.
+        thread::spawn(move || run_tracer(command, plan, &tell_start, &tell_end));
+        let started: Started = start
+            .recv()
+            .map_err(|_| io::Error::other("the tracer ended"))??;
+        Ok(TracedProcess {
+            pid: started.pid,
+            stderr: started.stderr,
+            end,
+        })
+    }
+
+    /// Sends it a signal; nothing happens where it has ended.
+    pub fn signal(&self, signal: Signal) {
+        // It may have ended a moment ago.
+        let _ = kill(self.pid, signal);
+    }
+
+    /// Waits for its end; none: it still runs.
+    #[must_use]
+    pub fn wait(&self, within: Duration) -> Option<ProcessEnd> {
+        match self.end.recv_timeout(within) {
+            Ok(end) => Some(end),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => panic!("the tracer failed"),
+        }
+    }
+}
+
+impl Drop for TracedProcess {
+    fn drop(&mut self) {
+        self.signal(Signal::SIGKILL);
+    }
+}
+
+fn run_tracer(
+    mut command: Command,
+    mut plan: impl FaultPlan,
+    tell_start: &Sender<io::Result<Started>>,
+    tell_end: &Sender<ProcessEnd>,
+) {
+    // SAFETY: between fork and exec the hook makes one system call and touches no memory of the parent.
+    unsafe { command.pre_exec(|| Ok(ptrace::traceme()?)) };
+    let mut child = match command.spawn() {
+        Ok(child) => child,
+        Err(error) => return drop(tell_start.send(Err(error))),
+    };
+    let pid = Pid::from_raw(child.id().cast_signed());
+    let stderr = child.stderr.take();
+    let _ = tell_start.send(Ok(Started { pid, stderr }));
+    if let Ok(end) = trace(pid, &mut plan) {
+        let _ = tell_end.send(end);
+    }
+}
+
+/// Follows a process from its first stop to its end.
+fn trace(pid: Pid, plan: &mut impl FaultPlan) -> nix::Result<ProcessEnd> {
+    if let Some(end) = process_end(waitpid(pid, None)?) {
+        return Ok(end);
+    }
+    let options = ptrace::Options::PTRACE_O_TRACESYSGOOD | ptrace::Options::PTRACE_O_EXITKILL;
+    ptrace::setoptions(pid, options)?;
+    let mut forwarded_signal = None;
+    let mut result_to_set = None;
+    loop {
+        match ptrace::syscall(pid, forwarded_signal.take()) {
+            // It was killed while it stood still; the next wait tells.
+            Ok(()) | Err(Errno::ESRCH) => {}
+            Err(error) => return Err(error),
+        }
+        match waitpid(pid, None)? {
+            WaitStatus::PtraceSyscall(_) => match on_system_call(pid, plan, &mut result_to_set) {
+                Ok(()) | Err(Errno::ESRCH) => {}
+                Err(error) => return Err(error),
+            },
+            WaitStatus::Stopped(_, signal) => forwarded_signal = Some(signal),
+            status => {
+                if let Some(end) = process_end(status) {
+                    return Ok(end);
+                }
+            }
+        }
+    }
+}
+
+fn process_end(status: WaitStatus) -> Option<ProcessEnd> {
+    match status {
+        WaitStatus::Exited(_, code) => Some(ProcessEnd::Exited(code)),
+        WaitStatus::Signaled(_, signal, _) => Some(ProcessEnd::Signaled(signal)),
+        _ => None,
+    }
+}
+
+/// The process stands before or behind a system call. `result_to_set`: the error that the call before which it stood last
+/// is to return.
+fn on_system_call(
+    pid: Pid,
+    plan: &mut impl FaultPlan,
+    result_to_set: &mut Option<Errno>,
+) -> nix::Result<()> {
+    let info = ptrace::syscall_info(pid)?;
+    if info.op == libc::PTRACE_SYSCALL_INFO_EXIT {
+        if let Some(errno) = result_to_set.take() {
+            set_result(pid, errno)?;
+        }
+        return Ok(());
+    }
+    if info.op != libc::PTRACE_SYSCALL_INFO_ENTRY {
+        return Ok(());
+    }
+    // SAFETY: `op` says which variant the kernel has filled.
+    let entry = unsafe { info.u.entry };
+    let call = SystemCall {
+        number: entry.nr as libc::c_long,
+        arguments: entry.args,
+    };
+    match plan.effect(&call) {
+        Effect::Proceed => Ok(()),
+        Effect::Fail(errno) => {
+            *result_to_set = Some(errno);
+            skip_call(pid)
+        }
+        Effect::Shorten(length) => set_length(pid, call.arguments[2].min(length)),
+    }
+}
+
+#[cfg(target_arch = "x86_64")]
+fn skip_call(pid: Pid) -> nix::Result<()> {
+    let mut registers = ptrace::getregs(pid)?;
+    registers.orig_rax = SKIPPED_CALL;
+    ptrace::setregs(pid, registers)
+}
+
+#[cfg(target_arch = "x86_64")]
+fn set_result(pid: Pid, errno: Errno) -> nix::Result<()> {
+    let mut registers = ptrace::getregs(pid)?;
+    registers.rax = i64::from(-(errno as i32)).cast_unsigned();
+    ptrace::setregs(pid, registers)
+}
+
+#[cfg(target_arch = "x86_64")]
+fn set_length(pid: Pid, length: u64) -> nix::Result<()> {
+    let mut registers = ptrace::getregs(pid)?;
+    registers.rdx = length;
+    ptrace::setregs(pid, registers)
+}
