A log that cannot be written costs lines, and never the gateway

Reproduced: a_log_that_cannot_be_written_ends_nothing, 101 with a full disk, a reader that has gone and a full pipe; never ready behind a full pipe that blocks.

A start whose configuration, sockets or event loop fail ends with 1.

At fault: eprintln! in lifecycle/mod.rs (print_counters) and main.rs, and tracing_subscriber::fmt with io::stderr in command/serve.rs, whose own report of a failed write is an eprintln! as well: both panic where standard error takes nothing, and a panic in the one thread is the end of all statements. println! in the sub-commands is the same: 'laurelhitch queue | head -1'.

Change: log_output writes whole lines, drops and counts what the machine does not take (log_lines_lost, and a line in the log once it takes some again), and never waits for a reader; command::output prints for sub-commands, an error is the command's error, a reader that has gone is a quiet end. Clippy's print_stdout and print_stderr are denied in the package, so the class can't come back.

--- a/crates/gateway/src/command/check.rs
+++ b/crates/gateway/src/command/check.rs
@@ -6,6 +6,7 @@
 use operator_config::MembershipConfig;
 use scheduler::Config as QueueConfig;
 
+use super::output::print_line;
 use super::{CommandResult, config_path};
 use crate::cluster::key_folder;
 use crate::config::{Config, Operated};
@@ -26,110 +27,118 @@
         print_fleet(&file, name, terms)?;
     }
     if let Some(shares) = &operated.shares {
-        print_shares(&file, shares);
+        print_shares(&file, shares)?;
     }
     match &operated.queues {
-        Some(queues) => print_queues(&file, queues),
-        None => println!("{file}: queues are off"),
+        Some(queues) => print_queues(&file, queues)?,
+        None => print_line(&format!("{file}: queues are off"))?,
     }
     Ok(())
 }
 
 fn print_configuration(path: &Path, config: &Config) -> CommandResult {
     config.settings.policy(config.seed, NETWORK_DELAY)?;
-    println!(
+    print_line(&format!(
         "configuration {}: gateway {}, listens on {}",
         path.display(),
         config.name,
         config.listen
-    );
-    println!("  products: {}", config.settings.class_names()?.join(", "));
-    println!("  members: {}", config.settings.tenant_names()?.join(", "));
+    ))?;
+    print_line(&format!(
+        "  products: {}",
+        config.settings.class_names()?.join(", ")
+    ))?;
+    print_line(&format!(
+        "  members: {}",
+        config.settings.tenant_names()?.join(", ")
+    ))?;
     Ok(())
 }
 
 fn print_fleet(file: &str, name: &Name, terms: &MembershipConfig) -> CommandResult {
     let keys = key_folder::read(&terms.keys_folder)?;
-    println!(
+    print_line(&format!(
         "{file}: fleet {} is on; this is {name}, bound to {}, reached at {}",
         terms.fleet, terms.bind, terms.advertise
-    );
+    ))?;
     let seeds: Vec<String> = terms.seeds.iter().map(ToString::to_string).collect();
-    println!(
+    print_line(&format!(
         "  seeds {}; {} keys accepted",
         seeds.join(", "),
         keys.accepted_keys().count()
-    );
+    ))?;
     let paces = &terms.protocol;
-    println!(
+    print_line(&format!(
         "  probes each {} s, answers within {} s, {} helpers; hearsay counts from {} gateways on",
         paces.probe_period.secs(),
         paces.probe_timeout.secs(),
         paces.indirect_probes,
         paces.required_witnesses()
-    );
+    ))?;
     if let Some(limits) = &paces.traffic_limits {
-        println!(
+        print_line(&format!(
             "  bounded: {} confirmations, {} verifiers, {} direct probes a period, {} bytes a second of gossip and {} of tables",
             limits.confirmations,
             limits.verifiers,
             limits.direct_probes,
             limits.gossip_bytes_per_s,
             limits.exchange_bytes_per_s
-        );
+        ))?;
     }
     Ok(())
 }
 
-fn print_shares(file: &str, shares: &::quota::Config) {
+fn print_shares(file: &str, shares: &::quota::Config) -> CommandResult {
     let voters: Vec<&str> = shares.voters.iter().map(|name| name.as_str()).collect();
-    println!(
+    print_line(&format!(
         "{file}: budgets are divided among {} gateways at most; voters {}; leases {} s, terms {} s",
         shares.max_gateways,
         voters.join(", "),
         shares.lease_duration.secs(),
         shares.term_duration.secs()
-    );
+    ))?;
     for budget in &shares.budgets {
-        println!(
+        print_line(&format!(
             "  {:<24} whole {} {}, floor of each {}",
             budget.name(),
             budget.capacity,
             budget.unit(),
             budget.guaranteed
-        );
+        ))?;
     }
+    Ok(())
 }
 
-fn print_queues(file: &str, queues: &QueueConfig) {
-    println!(
+fn print_queues(file: &str, queues: &QueueConfig) -> CommandResult {
+    print_line(&format!(
         "{file}: queues are on; ageing {} s, budgets save up over {} s",
         queues.ageing.secs(),
         queues.burst.secs()
-    );
-    println!(
+    ))?;
+    print_line(&format!(
         "  bounds: {} statements, {} CPU s; a desk {}, {}",
         queues.total_limit.statements,
         queues.total_limit.cpu,
         queues.sub_queue_limit.statements,
         queues.sub_queue_limit.cpu
-    );
-    println!("  this gateway's part, in CPU s a second:");
+    ))?;
+    print_line("  this gateway's part, in CPU s a second:")?;
     for tenant in &queues.tenants {
-        println!(
+        print_line(&format!(
             "  {:<20} {:>8.3}  weight {}",
             tenant.name, tenant.share.budget, tenant.share.weight
-        );
+        ))?;
         for sub_queue in &tenant.sub_queues {
             let networks: Vec<String> =
                 sub_queue.networks.iter().map(ToString::to_string).collect();
-            println!(
+            print_line(&format!(
                 "    {:<18} {:>8.3}  weight {}  {}",
                 sub_queue.name,
                 sub_queue.share.budget,
                 sub_queue.share.weight,
                 networks.join(" ")
-            );
+            ))?;
         }
     }
+    Ok(())
 }
--- a/crates/gateway/src/command/fleet_keys.rs
+++ b/crates/gateway/src/command/fleet_keys.rs
@@ -5,6 +5,7 @@
 
 use zeroize::Zeroizing;
 
+use super::output::print_line;
 use super::{CommandResult, FleetKeys};
 use crate::cluster::key_folder;
 
@@ -39,7 +40,7 @@
         } else {
             ""
         };
-        println!("{name}{mark}");
+        print_line(&format!("{name}{mark}"))?;
     }
     Ok(())
 }
--- a/crates/gateway/src/command/mod.rs
+++ b/crates/gateway/src/command/mod.rs
@@ -3,12 +3,12 @@
 mod arguments;
 mod check;
 mod fleet_keys;
+pub(crate) mod output;
 mod query;
 mod serve;
 mod table;
 
 use std::error::Error;
-use std::io;
 use std::path::PathBuf;
 
 use clap::CommandFactory;
@@ -47,16 +47,16 @@
         Command::FleetKeys(command) => fleet_keys::fleet_keys(command),
         Command::Keys(command) => credentials::keys(command),
         Command::Token(command) => credentials::token(command),
-        Command::Completions { shell } => {
-            print_completions(shell);
-            Ok(())
-        }
+        Command::Completions { shell } => print_completions(shell),
     }
 }
 
-fn print_completions(shell: Shell) {
+fn print_completions(shell: Shell) -> CommandResult {
     let mut command = CommandLine::command();
-    clap_complete::generate(shell, &mut command, "laurelhitch", &mut io::stdout());
+    // The library panics where what it writes to fails.
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut command, "laurelhitch", &mut script);
+    Ok(output::print(&String::from_utf8(script)?)?)
 }
 
 /// The configuration named on the command line, or else by the environment.
--- a/crates/gateway/src/command/serve.rs
+++ b/crates/gateway/src/command/serve.rs
@@ -1,6 +1,5 @@
 //! `laurelhitch serve`.
 
-use std::io;
 use std::path::PathBuf;
 
 use tracing_subscriber::EnvFilter;
@@ -8,6 +7,7 @@
 use super::{CommandResult, LogFormat, config_path};
 use crate::config::{Config, Operated};
 use crate::lifecycle::{self, Lifecycle};
+use crate::log_output::LogWriter;
 
 /// The environment's name of the log's level.
 const LOG_VARIABLE: &str = "LAURELHITCH_LOG";
@@ -30,7 +30,9 @@
         EnvFilter::try_from_env(LOG_VARIABLE).unwrap_or_else(|_| EnvFilter::new(DEFAULT_LOG_LEVEL));
     let log = tracing_subscriber::fmt()
         .with_env_filter(level)
-        .with_writer(io::stderr)
+        .with_writer(|| LogWriter)
+        // The library would print its own errors, and panic where that fails.
+        .log_internal_errors(false)
         .with_ansi(false);
     match format {
         LogFormat::Text => log.init(),
--- a/crates/gateway/src/command/table.rs
+++ b/crates/gateway/src/command/table.rs
@@ -3,6 +3,7 @@
 use serde_json::{Map, Value, json};
 
 use super::CommandResult;
+use super::output::{print, print_line};
 
 /// Columns of names, to the left; those after them hold numbers, to the right.
 const NAME_COLUMNS: usize = 2;
@@ -38,17 +39,13 @@
 ) -> CommandResult {
     match format {
         OutputFormat::Json => print_json(columns, rows),
-        OutputFormat::Text => {
-            print_text(columns, rows);
-            Ok(())
-        }
+        OutputFormat::Text => Ok(print(&text_table(columns, rows))?),
     }
 }
 
 fn print_json(columns: &[&str], rows: &[Vec<String>]) -> CommandResult {
     let objects: Vec<Value> = rows.iter().map(|row| json_object(columns, row)).collect();
-    println!("{}", serde_json::to_string_pretty(&objects)?);
-    Ok(())
+    Ok(print_line(&serde_json::to_string_pretty(&objects)?)?)
 }
 
 fn json_object(columns: &[&str], row: &[String]) -> Value {
@@ -67,16 +64,15 @@
     }
 }
 
-fn print_text(columns: &[&str], rows: &[Vec<String>]) {
+fn text_table(columns: &[&str], rows: &[Vec<String>]) -> String {
     let width = |column: usize| {
         let cells = rows.iter().map(|row| row[column].len());
         cells.chain([columns[column].len()]).max().unwrap_or(0)
     };
     let widths: Vec<usize> = (0..columns.len()).map(width).collect();
     let names: Vec<String> = columns.iter().map(ToString::to_string).collect();
-    for row in [&names].into_iter().chain(rows) {
-        println!("{}", text_line(row, &widths));
-    }
+    let lines = [&names].into_iter().chain(rows);
+    lines.map(|row| text_line(row, &widths) + "\n").collect()
 }
 
 fn text_line(row: &[String], widths: &[usize]) -> String {
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -78,6 +78,7 @@
     turns: "Turns of the event loop.",
     late_turns: "Turns that began over 5 ms after they were due.",
     busy_ms: "Time at work, not asleep, in ms; over the accepted statements, the time of each.",
+    log_lines_lost: "Lines of the log that could not be written.",
 }
 
 impl Counters {
--- a/crates/gateway/src/credentials/keys.rs
+++ b/crates/gateway/src/credentials/keys.rs
@@ -9,6 +9,7 @@
 use identity::{KeyEntry, KeyId, KeyIndex, token};
 
 use super::{CommandResult, key_id, unix_now_s, update_index};
+use crate::command::output::print_line;
 use crate::keyfiles::{self, FilesError};
 
 #[derive(Debug, Subcommand)]
@@ -73,16 +74,16 @@
     keyfiles::write_secret(&secret_path, secret.as_bytes())?;
     let public = keyfiles::hex(&pair.public);
     keyfiles::write_public(&public_path, public.as_bytes())?;
-    println!("{}", public_path.display());
+    print_line(&public_path.display().to_string())?;
     Ok(())
 }
 
 fn list(folder: &Path) -> CommandResult {
     let index = keyfiles::read_index_or_default(folder)?;
-    println!("version {}", index.version);
+    print_line(&format!("version {}", index.version))?;
     let now = Timestamp::from_secs(unix_now_s());
     for key in &index.keys {
-        println!("{:<32}  {:?}", key.id.as_str(), key.state(now));
+        print_line(&format!("{:<32}  {:?}", key.id.as_str(), key.state(now)))?;
     }
     Ok(())
 }
--- a/crates/gateway/src/credentials/token.rs
+++ b/crates/gateway/src/credentials/token.rs
@@ -13,6 +13,7 @@
 use ipnet::IpNet;
 
 use super::{CommandResult, key_id, unix_now_s, update_index};
+use crate::command::output::print_line;
 use crate::keyfiles::{self, FilesError};
 
 /// Random bytes in the id of a token.
@@ -112,7 +113,7 @@
     let public = keyfiles::read(&issue.folder)?.public_keys.get(&id).copied();
     let public = public.ok_or_else(|| format!("{} is not announced", id.as_str()))?;
     token::verify(&signed, &public)?;
-    println!("{signed}");
+    print_line(&signed)?;
     Ok(())
 }
 
@@ -124,8 +125,8 @@
 fn show(token: &str) -> CommandResult {
     let claims = token::unverified_claims(token)?;
     let key = token::unverified_key_id(token)?;
-    println!("key {}, unchecked", key.as_str());
-    println!("{}", serde_json::to_string_pretty(&claims)?);
+    print_line(&format!("key {}, unchecked", key.as_str()))?;
+    print_line(&serde_json::to_string_pretty(&claims)?)?;
     Ok(())
 }
 
@@ -136,7 +137,10 @@
     verifier.update(now, &files.index, &files.public_keys, files.revoked)?;
     match verifier.verify(now, token) {
         Authentication::Accepted { claims, .. } => {
-            println!("granted to {} of {}", claims.caller, claims.grant.tenant);
+            print_line(&format!(
+                "granted to {} of {}",
+                claims.caller, claims.grant.tenant
+            ))?;
             Ok(())
         }
         Authentication::RetryLater { retry_after } => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,10 @@
 //! The gateway: MySQL clients before engines with limited memory. Network code only; what becomes of a
 //! statement is asked of `dispatch`.
 
+// The macros that print panic where the machine does not take what they print. The log is `log_output`, what commands print
+// goes through `command::output`.
+#![deny(clippy::print_stderr, clippy::print_stdout)]
+
 pub mod clients;
 pub mod clock;
 pub mod cluster;
@@ -13,6 +17,7 @@
 pub mod keyfiles;
 pub mod keywatch;
 pub mod lifecycle;
+pub mod log_output;
 pub mod service;
 pub mod socket;
 pub mod status;
--- a/crates/gateway/src/lifecycle/mod.rs
+++ b/crates/gateway/src/lifecycle/mod.rs
@@ -28,6 +28,7 @@
 use crate::cluster::{ClusterEndpoint, ClusterError};
 use crate::config::{Config, Operated};
 use crate::keywatch::WatchError;
+use crate::log_output;
 use crate::service::Service;
 use crate::socket::{EventSource, LoopEvents};
 
@@ -237,6 +238,7 @@
     /// Prints the counters, whatever the log's level: they were asked for.
     fn print_counters(&mut self) {
         self.service.update_queue_counters();
+        self.service.counters.log_lines_lost = log_output::lost_lines();
         let now = self.clock.now();
         let fleet = self
             .service
@@ -245,7 +247,7 @@
                 cluster.counters(now)
             });
         let service = &self.service;
-        eprintln!(
+        log_output::write_line(&format!(
             "counters: {}{fleet}open={} waiting={} sessions={} engine_connections_open={} engines_ejected={} discovery_polls_open={}",
             service.counters,
             service.counters.open(),
@@ -254,6 +256,6 @@
             service.engines.connection_count(),
             service.ejected_engines(),
             service.discovery.open_polls()
-        );
+        ));
     }
 }
