Failures of system calls end no start, no event loop and no connection

Change: StartRetry (25 s, every 50 ms, first failure logged) and Phase::Binding for the address; lifecycle/wait.rs counts a failed wait, takes all sockets for ready and goes on; a transfer without buffers is tried again 5 ms later; the acceptor keeps a client that it cannot set up, passes over connections that are gone, and tries again after 10 ms; it listens last, and keeps what it has bound (no duplicate descriptor any more); a reload tries a file again that cannot be read for now; an interrupted connect goes on. machine_errors has the classes of errors. The seed of hash tables is drawn first, and again where that fails.

--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -15,6 +15,7 @@
 mod timeouts;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::net::{IpAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -22,7 +23,6 @@
 use admission::interface::{StatementId, Timestamp};
 use bytes::BytesMut;
 use rustls::ServerConfig;
-use tracing::debug;
 
 pub use events::{
     ClientEnd, Disconnection, KillOutcome, ProgressSubscriber, SessionEvent, SessionId,
@@ -118,23 +118,23 @@
 
     /// Takes a client's connection: greets it, and processes what it has sent already. Another session may be closed for
     /// it.
+    ///
+    /// # Errors
+    /// The machine cannot set it up now. Nothing was said to the client, so it may be tried again.
     pub fn accept(
         &mut self,
         now: Timestamp,
-        stream: TcpStream,
+        stream: Rc<TcpStream>,
         client_ip: IpAddr,
         counters: &mut Counters,
-    ) {
+    ) -> io::Result<()> {
         self.make_room(now, counters);
         self.last_connection_id = self
             .last_connection_id
             .checked_add(1)
             .unwrap_or(UNSET_CONNECTION_ID + 1);
         let connection_id = self.last_connection_id;
-        let socket = match Socket::new(stream, &self.handle, EventSource::Client(connection_id)) {
-            Ok(socket) => socket,
-            Err(error) => return debug!(%error, "client connection not accepted"),
-        };
+        let socket = Socket::new(stream, &self.handle, EventSource::Client(connection_id))?;
         counters.sessions_opened += 1;
         let mut session = Session::new(socket, client_ip, now);
         let options = OfferedOptions {
@@ -146,6 +146,7 @@
         let id = SessionId(connection_id);
         self.sessions.insert(id, session);
         self.on_ready(now, id, counters);
+        Ok(())
     }
 
     /// Drops a session.
@@ -169,6 +170,11 @@
         self.sessions.len()
     }
 
+    /// What all sessions are noted as where they become ready.
+    pub fn event_sources(&self) -> impl Iterator<Item = EventSource> {
+        self.sessions.keys().map(|id| EventSource::Client(id.0))
+    }
+
     /// Whether no session is open.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/gateway/src/command/serve.rs
+++ b/crates/gateway/src/command/serve.rs
@@ -5,7 +5,8 @@
 use tracing_subscriber::EnvFilter;
 
 use super::{CommandResult, LogFormat, config_path};
-use crate::config::{Config, Operated};
+use crate::config::{Config, ConfigError, Operated};
+use crate::lifecycle::start_retry::StartRetry;
 use crate::lifecycle::{self, Lifecycle};
 use crate::log_output::LogWriter;
 
@@ -16,12 +17,18 @@
 /// Serves until SIGTERM.
 pub(super) fn serve(operator: Option<PathBuf>, format: LogFormat) -> CommandResult {
     // Before all else: a signal that comes while the program still starts waits.
-    let signals = lifecycle::signals()?;
+    let retry = StartRetry::begin();
+    let signals = retry.run("signals", |_| true, lifecycle::signals)?;
+    retry.seed_hash_tables()?;
     start_log(format);
     let path = config_path(None)?;
-    let config = Config::read(&path)?;
-    let operated = Operated::read(operator, &config)?;
-    Lifecycle::start(signals, path, config, operated)?.run()?;
+    let config = retry.run("start", ConfigError::passes_by_itself, || {
+        Config::read(&path)
+    })?;
+    let operated = retry.run("start", ConfigError::passes_by_itself, || {
+        Operated::read(operator.clone(), &config)
+    })?;
+    Lifecycle::start(signals, path, config, operated, retry)?.run()?;
     Ok(())
 }
 
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use crate::discovery::endpoints::{EndpointListError, EventBatch};
+use crate::machine_errors::is_file_unreadable_for_now;
 
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -36,6 +37,20 @@
     Name(String, ::membership::InvalidName),
 }
 
+impl ConfigError {
+    /// Whether a file could not be read for a reason that may pass by itself.
+    #[must_use]
+    pub fn passes_by_itself(&self) -> bool {
+        match self {
+            ConfigError::Unreadable(_, error)
+            | ConfigError::Operator(OperatorConfigError::Unreadable(_, error)) => {
+                is_file_unreadable_for_now(error)
+            }
+            _ => false,
+        }
+    }
+}
+
 /// The operator's file beside the configuration: what of it is in force at this gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Operated {
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -79,6 +79,8 @@
     late_turns: "Turns that began over 5 ms after they were due.",
     busy_ms: "Time at work, not asleep, in ms; over the accepted statements, the time of each.",
     log_lines_lost: "Lines of the log that could not be written.",
+    accepts_failed: "Connections that could not be accepted at once: gone by then, or the machine was short of something.",
+    event_loop_failures: "Waits of the event loop that failed; all sockets are looked at after each.",
 }
 
 impl Counters {
--- a/crates/gateway/src/discovery/mod.rs
+++ b/crates/gateway/src/discovery/mod.rs
@@ -21,7 +21,8 @@
 use poll::{Poll, PollError, Received};
 
 use crate::counters::Counters;
-use crate::socket::{EventLoopHandle, is_resource_exhaustion};
+use crate::machine_errors::is_resource_exhaustion;
+use crate::socket::{EventLoopHandle, EventSource};
 
 /// Polls that run at once, late ones among them.
 const MAX_POLLS: usize = 4;
@@ -71,6 +72,11 @@
         }
     }
 
+    /// What all polls are noted as where they become ready.
+    pub fn event_sources(&self) -> impl Iterator<Item = EventSource> {
+        self.polls.keys().copied().map(EventSource::Discovery)
+    }
+
     /// Polls that are open now.
     #[must_use]
     pub fn open_polls(&self) -> usize {
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -24,7 +24,7 @@
 use tracing::debug;
 
 use crate::counters::Counters;
-use crate::socket::EventLoopHandle;
+use crate::socket::{EventLoopHandle, EventSource};
 
 pub use attempt::{AttemptUpdate, OutgoingAttempt};
 pub use connection::ConnectionId;
@@ -78,6 +78,11 @@
         self.pool.set_address(engine, address);
     }
 
+    /// What all connections are noted as where they become ready.
+    pub fn event_sources(&self) -> impl Iterator<Item = EventSource> {
+        self.pool.ids().map(EventSource::Engine)
+    }
+
     /// Connections that are open or coming up.
     #[must_use]
     pub fn connection_count(&self) -> usize {
--- a/crates/gateway/src/engines/pool.rs
+++ b/crates/gateway/src/engines/pool.rs
@@ -13,7 +13,8 @@
 
 use super::attempt::OutgoingAttempt;
 use super::connection::{Connection, ConnectionId};
-use crate::socket::{EventLoopHandle, EventSource, Socket, is_resource_exhaustion};
+use crate::machine_errors::is_resource_exhaustion;
+use crate::socket::{EventLoopHandle, EventSource, Socket};
 
 /// An idle connection is closed after this part of the time in the settings: the close must be on the engine's side
 /// before its own one, with a slow event loop and a slow network in between.
@@ -111,6 +112,11 @@
         self.connections.get_mut(&id)
     }
 
+    /// The numbers of all connections, in the order in which they were opened.
+    pub(super) fn ids(&self) -> impl Iterator<Item = ConnectionId> {
+        self.connections.keys().copied()
+    }
+
     /// All connections, in the order in which they were opened.
     pub(super) fn iter(&self) -> impl Iterator<Item = &Connection> {
         self.connections.values()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod keywatch;
 pub mod lifecycle;
 pub mod log_output;
+pub mod machine_errors;
 pub mod service;
 pub mod socket;
 pub mod status;
--- a/crates/gateway/src/lifecycle/mod.rs
+++ b/crates/gateway/src/lifecycle/mod.rs
@@ -4,7 +4,9 @@
 mod phase;
 mod reload;
 mod start;
+pub mod start_retry;
 mod timer;
+mod wait;
 
 use std::io;
 use std::net::SocketAddr;
@@ -21,8 +23,11 @@
 use self::acceptor::Acceptor;
 pub use self::phase::DrainTimes;
 use self::phase::{Conditions, Phase, Transition};
+use self::reload::PendingReload;
 pub use self::start::signals;
+use self::start_retry::NoRandomBytes;
 use self::timer::WakeTimer;
+use self::wait::LoopFailures;
 use crate::clients::SessionId;
 use crate::clock::Clock;
 use crate::cluster::{ClusterEndpoint, ClusterError};
@@ -56,6 +61,9 @@
     /// The fleet cannot be joined.
     #[error(transparent)]
     Cluster(#[from] ClusterError),
+    /// There are no hash tables without random bytes.
+    #[error(transparent)]
+    RandomBytes(#[from] NoRandomBytes),
 }
 
 /// One gateway, from its start to its exit.
@@ -65,6 +73,7 @@
     acceptor: Acceptor,
     clock: Clock,
     timer: WakeTimer,
+    loop_failures: LoopFailures,
     service: Service,
     drain_times: DrainTimes,
     /// Where the configuration comes from.
@@ -73,21 +82,21 @@
     config: Config,
     /// What of the operator's file is in force.
     operated: Operated,
+    /// SIGHUP came, and a file could not be read yet.
+    pending_reload: Option<PendingReload>,
 }
 
 impl Lifecycle {
     /// Runs until the gateway ends after SIGTERM or SIGINT.
     ///
     /// # Errors
-    /// The event loop fails, or the address for clients cannot be bound.
+    /// The address for clients cannot be bound.
     pub fn run(mut self) -> Result<(), StartError> {
         let mut ready = LoopEvents::default();
         let mut busy_s = 0.0;
         while self.phase != Phase::Exited {
             let due = self.next_due();
-            let handle = self.event_loop.handle();
-            self.timer.arm(due, &self.clock, &handle)?;
-            self.event_loop.dispatch(None, &mut ready)?;
+            self.wait(due, &mut ready);
             let now = self.clock.now();
             self.turn(now, due, &mut ready)?;
             busy_s += (self.clock.now() - now).secs();
@@ -99,16 +108,14 @@
 
     fn next_due(&self) -> Timestamp {
         let now = self.clock.now();
-        let service_due = self.service.next_due(now);
-        let due = if self.acceptor.is_due() {
-            now
-        } else {
-            service_due
-        };
-        match self.phase.due(now) {
-            Some(phase_due) => due.min(phase_due),
-            None => due,
-        }
+        let due = [
+            self.acceptor.next_due(now),
+            self.phase.due(now),
+            self.pending_reload.map(PendingReload::due),
+        ];
+        due.into_iter()
+            .flatten()
+            .fold(self.service.next_due(now), Timestamp::min)
     }
 
     /// Handles all that one sleep of the event loop brought.
@@ -128,6 +135,7 @@
         for signal in std::mem::take(&mut ready.signals) {
             self.on_signal(now, signal);
         }
+        self.retry_reload(now);
         for known in std::mem::take(&mut ready.key_changes) {
             self.reload_key_files(known);
         }
@@ -193,10 +201,7 @@
         };
         match self.phase.transition(now, conditions) {
             None => {}
-            Some(Transition::Listen) => {
-                self.listen()?;
-                self.phase = Phase::Ready;
-            }
+            Some(Transition::Listen) => self.try_listen(now)?,
             Some(Transition::Serve) => {
                 info!("serving");
                 self.phase = Phase::Serving;
@@ -209,12 +214,29 @@
         Ok(())
     }
 
+    fn try_listen(&mut self, now: Timestamp) -> Result<(), StartError> {
+        let Err(error) = self.listen() else {
+            self.phase = Phase::Ready;
+            return Ok(());
+        };
+        if matches!(self.phase, Phase::Starting { .. }) {
+            warn!(%error, "cannot listen yet; it is tried again");
+        }
+        match self.phase.after_failed_listen(now) {
+            Some(phase) => {
+                self.phase = phase;
+                Ok(())
+            }
+            None => Err(error),
+        }
+    }
+
     fn listen(&mut self) -> Result<(), StartError> {
+        let handle = self.event_loop.handle();
+        self.acceptor.listen(self.config.listen, &handle)?;
         if !self.service.has_endpoints() {
             warn!("no list yet; statements are denied until one comes");
         }
-        let handle = self.event_loop.handle();
-        self.acceptor.listen(self.config.listen, &handle)?;
         info!(listen = %self.config.listen, "ready");
         Ok(())
     }
--- a/crates/gateway/src/lifecycle/phase.rs
+++ b/crates/gateway/src/lifecycle/phase.rs
@@ -2,6 +2,8 @@
 
 use admission::interface::{TimeDelta, Timestamp};
 
+use super::start_retry::{LISTEN_PATIENCE, LISTEN_PAUSE};
+
 /// Network facts of a planned restart: after SIGTERM statements go on coming for so long; the kill comes no sooner than
 /// the longest deadline, but [`MAX_DEADLINE_S`] at most, after that.
 const LATE_STATEMENTS_S: f64 = 0.7;
@@ -53,6 +55,13 @@
         /// It listens then, also without a list.
         listen_by: Timestamp,
     },
+    /// It could not listen yet: another process has its address, or the machine is short of something.
+    Binding {
+        /// It is tried again then.
+        retry_at: Timestamp,
+        /// A failure after this ends the program.
+        give_up_at: Timestamp,
+    },
     /// Listening; no statement received yet.
     Ready,
     /// Listening, and statements were received.
@@ -113,14 +122,28 @@
     /// The phase after SIGTERM; none where the gateway ends already.
     pub(super) fn drained(self, now: Timestamp, times: DrainTimes) -> Option<Self> {
         match self {
-            Phase::Starting { .. } | Phase::Ready | Phase::Serving => Some(Phase::Draining {
-                accept_until: now + TimeDelta::from_secs(LATE_STATEMENTS_S),
-                exit_by: now + times.exit,
-            }),
+            Phase::Starting { .. } | Phase::Binding { .. } | Phase::Ready | Phase::Serving => {
+                Some(Phase::Draining {
+                    accept_until: now + TimeDelta::from_secs(LATE_STATEMENTS_S),
+                    exit_by: now + times.exit,
+                })
+            }
             Phase::Draining { .. } | Phase::Closing { .. } | Phase::Exited => None,
         }
     }
 
+    /// The phase after an attempt to listen that failed; none: that was the last one.
+    pub(super) fn after_failed_listen(self, now: Timestamp) -> Option<Self> {
+        let give_up_at = match self {
+            Phase::Binding { give_up_at, .. } => give_up_at,
+            _ => now + LISTEN_PATIENCE,
+        };
+        (now < give_up_at).then_some(Phase::Binding {
+            retry_at: now + LISTEN_PAUSE,
+            give_up_at,
+        })
+    }
+
     /// The phase in which sessions are closed.
     pub(super) fn closing(now: Timestamp, exit_by: Timestamp) -> Self {
         Phase::Closing {
@@ -135,6 +158,7 @@
                 let due = conditions.has_endpoints || listen_by <= now;
                 due.then_some(Transition::Listen)
             }
+            Phase::Binding { retry_at, .. } => (retry_at <= now).then_some(Transition::Listen),
             Phase::Ready => conditions.has_statement.then_some(Transition::Serve),
             Phase::Draining { exit_by, .. } if exit_by <= now => Some(Transition::Exit),
             Phase::Draining {
@@ -156,6 +180,7 @@
     pub(super) fn due(self, now: Timestamp) -> Option<Timestamp> {
         match self {
             Phase::Starting { listen_by } => Some(listen_by),
+            Phase::Binding { retry_at, .. } => Some(retry_at),
             Phase::Draining { accept_until, .. } if accept_until > now => Some(accept_until),
             Phase::Draining { exit_by, .. } | Phase::Closing { exit_by } => Some(exit_by),
             Phase::Ready | Phase::Serving | Phase::Exited => None,
--- a/crates/gateway/src/lifecycle/reload.rs
+++ b/crates/gateway/src/lifecycle/reload.rs
@@ -1,33 +1,74 @@
 //! What changes without a restart: the configuration and the operator's file on SIGHUP, key files when they change. A
 //! file that cannot be used leaves what was in force as it was.
 
-use admission::interface::Timestamp;
+use admission::interface::{TimeDelta, Timestamp};
 use identity::KeyIndexError;
 use tracing::{info, warn};
 
 use super::Lifecycle;
 use crate::clock::unix_now;
 use crate::cluster::ClusterEndpoint;
-use crate::config::{Config, Operated};
+use crate::config::{Config, ConfigError, Operated};
 use crate::keywatch::{Known, WatchError};
 
+/// How long a file is tried that cannot be read for now. What it tells of the discovery service is needed: drains are told
+/// there.
+const PATIENCE: TimeDelta = TimeDelta::from_micros(30_000_000);
+
+/// Between two tries.
+const PAUSE: TimeDelta = TimeDelta::from_micros(50_000);
+
+/// A reload that waits for a file which cannot be read for now.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingReload {
+    due: Timestamp,
+    give_up_at: Timestamp,
+}
+
+impl PendingReload {
+    /// When the files are read again.
+    pub(super) fn due(self) -> Timestamp {
+        self.due
+    }
+}
+
 impl Lifecycle {
     /// Reads the files again, in every phase.
     pub(super) fn reload(&mut self, now: Timestamp) {
-        self.reload_configuration(now);
-        self.reload_operator_file(now);
+        self.pending_reload = None;
+        self.try_reload(now, now + PATIENCE);
     }
 
-    /// Of a usable file only the discovery service and the list are taken, since no open statement may be touched.
-    fn reload_configuration(&mut self, now: Timestamp) {
-        let config = match Config::read(&self.source) {
-            Ok(config) => config,
-            Err(error) => {
+    /// Goes on with a reload that is due again.
+    pub(super) fn retry_reload(&mut self, now: Timestamp) {
+        let Some(pending) = self.pending_reload.filter(|pending| pending.due <= now) else {
+            return;
+        };
+        self.pending_reload = None;
+        self.try_reload(now, pending.give_up_at);
+    }
+
+    fn try_reload(&mut self, now: Timestamp, give_up_at: Timestamp) {
+        let configuration = self.reload_configuration(now);
+        let operator_file = self.reload_operator_file(now);
+        for result in [configuration, operator_file] {
+            let Err(error) = result else {
+                continue;
+            };
+            if error.passes_by_itself() && now < give_up_at {
+                info!(%error, "reload: tried again");
+                let due = now + PAUSE;
+                self.pending_reload = Some(PendingReload { due, give_up_at });
+            } else {
                 self.service.counters.reloads_failed += 1;
-                warn!(%error, "the configuration cannot be used; the old one stands");
-                return;
+                warn!(%error, "the file cannot be used; the old one stands");
             }
-        };
+        }
+    }
+
+    /// Of a usable file only the discovery service and the list are taken, since no open statement may be touched.
+    fn reload_configuration(&mut self, now: Timestamp) -> Result<(), ConfigError> {
+        let config = Config::read(&self.source)?;
         let kept = self.config.fixed_differences(&config);
         info!(board = %config.board, known = config.known.last_revision, ?kept, "configuration read again");
         let service = &mut self.service;
@@ -36,6 +77,7 @@
         service
             .discovery
             .reconfigure(now, config.board, config.known, counters);
+        Ok(())
     }
 
     /// Key files and certificates that changed, all or none of them.
@@ -72,21 +114,15 @@
     }
 
     /// The operator's file, all of it or nothing. What is off or on stays so: sessions were told at their start.
-    fn reload_operator_file(&mut self, now: Timestamp) {
+    fn reload_operator_file(&mut self, now: Timestamp) -> Result<(), ConfigError> {
         let Some(path) = self.operated.file.clone() else {
-            return;
+            return Ok(());
         };
-        match Operated::read(Some(path), &self.config) {
-            Err(error) => {
-                self.service.counters.reloads_failed += 1;
-                warn!(%error, "the operator's file cannot be used; the old one stands");
-            }
-            Ok(operated) => {
-                self.reload_fleet(&operated);
-                self.reload_shares(&operated);
-                self.reload_queues(now, operated);
-            }
-        }
+        let operated = Operated::read(Some(path), &self.config)?;
+        self.reload_fleet(&operated);
+        self.reload_shares(&operated);
+        self.reload_queues(now, operated);
+        Ok(())
     }
 
     fn reload_fleet(&mut self, operated: &Operated) {
--- a/crates/gateway/src/lifecycle/start.rs
+++ b/crates/gateway/src/lifecycle/start.rs
@@ -11,12 +11,14 @@
 
 use super::acceptor::Acceptor;
 use super::phase::{DrainTimes, Phase};
+use super::start_retry::StartRetry;
 use super::timer::WakeTimer;
+use super::wait::LoopFailures;
 use super::{Lifecycle, StartError};
 use crate::clients::{ProgressReports, SessionLimits, Sessions};
 use crate::clock::{Clock, unix_now};
-use crate::cluster::ClusterEndpoint;
 use crate::cluster::QuotaLeases;
+use crate::cluster::{ClusterEndpoint, ClusterError};
 use crate::config::{Config, Operated};
 use crate::discovery::DiscoveryClient;
 use crate::engines::EngineTransport;
@@ -63,12 +65,14 @@
         source: PathBuf,
         mut config: Config,
         operated: Operated,
+        retry: StartRetry,
     ) -> Result<Self, StartError> {
+        let event_loop: EventLoop<'static, LoopEvents> =
+            retry.run("event loop", |_| true, EventLoop::try_new)?;
+        let handle = event_loop.handle();
+        watch_signals(&handle, signals, retry)?;
         let clock = Clock::start();
         let now = clock.now();
-        let event_loop: EventLoop<'static, LoopEvents> = EventLoop::try_new()?;
-        let handle = event_loop.handle();
-        watch_signals(&handle, signals)?;
         let mut service = new_service(now, &handle, &config, &operated)?;
         let known_events = std::mem::take(&mut config.known.events);
         service.on_discovery_events(now, &known_events);
@@ -76,7 +80,10 @@
             authenticate_callers(&mut service, &handle, callers)?;
         }
         if let Some((name, terms)) = &operated.fleet {
-            let mut cluster = ClusterEndpoint::bind(now, &handle, terms, name, config.seed)?;
+            let passes_by_itself = |error: &ClusterError| matches!(error, ClusterError::Bind(..));
+            let mut cluster = retry.run("fleet", passes_by_itself, || {
+                ClusterEndpoint::bind(now, &handle, terms, name, config.seed)
+            })?;
             share_quotas(&mut cluster, clock, &config, &operated)?;
             service.set_cluster(cluster);
         }
@@ -88,22 +95,42 @@
             acceptor: Acceptor::default(),
             clock,
             timer: WakeTimer::default(),
+            loop_failures: LoopFailures::default(),
             service,
             drain_times: DrainTimes::for_longest_deadline(longest_time_limit),
             source,
             config,
             operated,
+            pending_reload: None,
         })
     }
 }
 
-fn watch_signals(handle: &EventLoopHandle, signals: Signals) -> Result<(), StartError> {
+fn watch_signals(
+    handle: &EventLoopHandle,
+    signals: Signals,
+    retry: StartRetry,
+) -> Result<(), StartError> {
     let on_signal = |event: SignalEvent, _: &mut (), ready: &mut LoopEvents| {
         ready.signals.push(event.signal());
     };
-    handle
-        .insert_source(signals, on_signal)
-        .map_err(|error| error.error)?;
+    let mut unwatched = Some(signals);
+    retry.run(
+        "signals",
+        |_| true,
+        || {
+            let Some(signals) = unwatched.take() else {
+                return Ok(());
+            };
+            handle
+                .insert_source(signals, on_signal)
+                .map(drop)
+                .map_err(|failure| {
+                    unwatched = Some(failure.inserted);
+                    failure.error
+                })
+        },
+    )?;
     Ok(())
 }
 
--- a/crates/gateway/src/lifecycle/timer.rs
+++ b/crates/gateway/src/lifecycle/timer.rs
@@ -48,6 +48,13 @@
         Ok(())
     }
 
+    /// Takes the timer off: the event loop failed, and may have lost its event.
+    pub(super) fn disarm(&mut self, handle: &EventLoopHandle) {
+        if let Some(armed) = self.armed.take() {
+            handle.remove(armed.token);
+        }
+    }
+
     /// It has fired, and is gone from the event loop.
     pub(super) fn on_fired(&mut self) {
         self.armed = None;
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -9,16 +9,20 @@
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::engines::ConnectionId;
 use crate::keywatch::{Known, WatchError};
+use crate::machine_errors::is_transfer_shortage;
 use admission::interface::{TimeDelta, Timestamp};
 use bytes::{Buf, BufMut, BytesMut};
 use calloop::generic::Generic;
+use calloop::timer::{TimeoutAction, Timer};
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use nix::sys::socket::getsockopt;
 use nix::{getsockopt_impl, libc, sockopt_impl};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::io::Errno;
 use rustix::net::{AddressFamily, SocketFlags, SocketType, connect, ipproto, socket_with, sockopt};
 use rustls::{ServerConfig, ServerConnection};
 
@@ -31,20 +35,6 @@
     libc::tcp_info
 );
 
-/// Whether an error means that this machine or process is out of descriptors, buffers or ports; the peer has no part in it.
-#[must_use]
-pub fn is_resource_exhaustion(error: &io::Error) -> bool {
-    use rustix::io::Errno;
-    let exhausted = [
-        Errno::MFILE,
-        Errno::NFILE,
-        Errno::NOBUFS,
-        Errno::NOMEM,
-        Errno::ADDRNOTAVAIL,
-    ];
-    Errno::from_io_error(error).is_some_and(|errno| exhausted.contains(&errno))
-}
-
 /// What a readiness event is of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EventSource {
@@ -81,9 +71,14 @@
 
 const MICROS_PER_MILLI: i64 = 1000;
 
+/// How soon a transfer is tried again for which the machine had no buffers: no event tells when it has some.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(5);
+
 /// A connection to a client, an engine or the discovery service; it closes as it is dropped.
 pub struct Socket {
     stream: Rc<TcpStream>,
+    /// Whose events it makes.
+    source: EventSource,
     /// None once it is dropped.
     registration: Option<RegistrationToken>,
     event_loop: EventLoopHandle,
@@ -100,6 +95,8 @@
     write_finished: bool,
     /// The machine may hold bytes that no further event will tell of.
     may_be_readable: bool,
+    /// A transfer found no buffers, and an event that makes it be tried again is on its way.
+    retry_scheduled: bool,
     /// From the start of its handshake on, all that is read and written goes through it.
     tls: Option<Box<ServerConnection>>,
 }
@@ -109,16 +106,15 @@
     ///
     /// # Errors
     ///
-    /// The stream cannot be set up, or the event loop cannot take it.
+    /// The stream cannot be set up, or the event loop cannot take it. Whoever holds on to the stream may try again.
     pub fn new(
-        stream: TcpStream,
+        stream: Rc<TcpStream>,
         event_loop: &EventLoopHandle,
         source: EventSource,
     ) -> io::Result<Self> {
         stream.set_nonblocking(true)?;
         // Responses and attempts are small and written at once: waiting to fill a segment would only delay them.
         stream.set_nodelay(true)?;
-        let stream = Rc::new(stream);
         let readiness = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let registration = event_loop
             .insert_source(readiness, move |_, _, events: &mut LoopEvents| {
@@ -128,6 +124,7 @@
             .map_err(|error| io::Error::other(error.error))?;
         Ok(Socket {
             stream,
+            source,
             registration: Some(registration),
             event_loop: event_loop.clone(),
             read_buffer: BytesMut::new(),
@@ -137,6 +134,7 @@
             peer_finished: false,
             write_finished: false,
             may_be_readable: true,
+            retry_scheduled: false,
             tls: None,
         })
     }
@@ -159,8 +157,9 @@
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
         let fd: OwnedFd = socket_with(family, SocketType::STREAM, flags, Some(ipproto::TCP))?;
         match connect(&fd, &address) {
-            Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {
-                Self::new(TcpStream::from(fd), event_loop, source)
+            // Interrupted, it goes on as one that does not wait.
+            Ok(()) | Err(Errno::INPROGRESS | Errno::INTR) => {
+                Self::new(Rc::new(TcpStream::from(fd)), event_loop, source)
             }
             Err(error) => Err(error.into()),
         }
@@ -183,6 +182,22 @@
     /// There may be something to read, or the peer's end: an event of the socket told so.
     pub fn mark_readable(&mut self) {
         self.may_be_readable = true;
+        self.retry_scheduled = false;
+    }
+
+    /// The machine has no buffers for a transfer: makes an event a little later, since the machine will make none.
+    fn schedule_retry(&mut self) {
+        if self.retry_scheduled {
+            return;
+        }
+        let source = self.source;
+        let on_due = move |_, _: &mut (), events: &mut LoopEvents| {
+            events.sources.push(source);
+            TimeoutAction::Drop
+        };
+        let timer = Timer::from_duration(SHORTAGE_PAUSE);
+        // A timer of the event loop makes no system call: this fails only where the loop has ended.
+        self.retry_scheduled = self.event_loop.insert_source(timer, on_due).is_ok();
     }
 
     /// Starts TLS, as its server. All from here on is TLS, what has come already too: bytes that were sent before the
@@ -249,6 +264,10 @@
                 Ok(length) => self.take_received(&chunk[..length])?,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => self.may_be_readable = false,
+                Err(error) if is_transfer_shortage(&error) => {
+                    self.may_be_readable = false;
+                    self.schedule_retry();
+                }
                 Err(error) => return Err(error),
             }
         }
@@ -322,6 +341,10 @@
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if is_transfer_shortage(&error) => {
+                    self.schedule_retry();
+                    return Ok(());
+                }
                 Err(error) => return Err(error),
             }
         }
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -269,7 +269,8 @@
     };
     send(&login_packet("app", b"", "warehouse"));
     let (near, from) = listener.accept().unwrap();
-    clients.accept(now, near, from.ip(), &mut counters);
+    let near = std::rc::Rc::new(near);
+    clients.accept(now, near, from.ip(), &mut counters).unwrap();
     send(&query_packet(&support::commented(5000, "SELECT 1")));
     // No turn in between.
     assert!(!clients.try_shut_down_all(now, &mut counters));
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
 
 use admission::interface::TimeDelta;
 use calloop::EventLoop;
@@ -16,7 +17,7 @@
     let (mut far, _) = listener.accept().unwrap();
     let event_loop: EventLoop<'_, LoopEvents> = EventLoop::try_new().unwrap();
     let mut socket = Socket::new(
-        near,
+        Rc::new(near),
         &event_loop.handle(),
         EventSource::Engine(ConnectionId(0)),
     )
--- a/crates/gateway/tests/support/faults.rs
+++ b/crates/gateway/tests/support/faults.rs
@@ -1,5 +1,6 @@
 //! A gateway whose system calls fail as a plan says, and the life that it has to lead all the same.
 
+use std::cell::Cell;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -12,7 +13,9 @@
 use process_harness::system_calls::{
     Effect, Errno, FaultPlan, ProcessEnd, Signal, SystemCall, TracedProcess,
 };
-use stand_ins::board::Board;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use stand_ins::board::{Board, Mood};
 use stand_ins::client::{Answer, Client, login_packet, packet, query_packet};
 use stand_ins::engine::Engine;
 
@@ -126,6 +129,95 @@
     }
 }
 
+/// The file descriptor of the log.
+const STDERR: u64 = 2;
+
+/// Whether the call writes a line of the log.
+pub(crate) fn writes_log(call: &SystemCall) -> bool {
+    call.number == libc::SYS_write && call.arguments[0] == STDERR
+}
+
+/// A plan by the number of a call among the program's own that `matches`, from one.
+pub(crate) fn by_occurrence(
+    matches: impl Fn(&SystemCall) -> bool + Send + 'static,
+    effect: impl Fn(usize) -> Effect + Send + 'static,
+) -> impl FaultPlan {
+    let mut own_calls = OwnCalls::default();
+    let mut seen = 0;
+    move |call: &SystemCall| {
+        if !own_calls.contain(call) || !matches(call) {
+            return Effect::Proceed;
+        }
+        seen += 1;
+        effect(seen)
+    }
+}
+
+/// Every second wait of the event loop fails after it took its events: they are lost.
+pub(crate) fn every_second_wait_loses_its_events() -> impl FaultPlan {
+    let mut own_calls = OwnCalls::default();
+    let mut waits: usize = 0;
+    let mut has_waited = false;
+    move |call: &SystemCall| {
+        let after_wait = has_waited && call.number == libc::SYS_epoll_ctl;
+        if call.number == libc::SYS_epoll_pwait {
+            has_waited = true;
+            waits += 1;
+        } else if after_wait {
+            has_waited = false;
+        }
+        if own_calls.contain(call) && after_wait && waits.is_multiple_of(2) {
+            Effect::Fail(Errno::ENOMEM)
+        } else {
+            Effect::Proceed
+        }
+    }
+}
+
+/// Reads and writes move one byte each.
+pub(crate) fn byte_by_byte() -> impl FaultPlan {
+    let mut own_calls = OwnCalls::default();
+    move |call: &SystemCall| {
+        if own_calls.contain(call) && moves_stream_bytes(call) {
+            Effect::Shorten(1)
+        } else {
+            Effect::Proceed
+        }
+    }
+}
+
+/// Whether the call may move any part of the bytes that it is asked for.
+fn moves_stream_bytes(call: &SystemCall) -> bool {
+    let moves = [libc::SYS_recvfrom, libc::SYS_sendto].contains(&call.number);
+    moves || writes_log(call)
+}
+
+/// Of the calls that may fail, and of the transfers, a part does so, by chance.
+pub(crate) fn by_chance(seed: u64) -> impl FaultPlan {
+    const FAILING_PART: f64 = 0.04;
+    const SHORT_PART: f64 = 0.2;
+    const MAX_SHORT_BYTES: u64 = 8;
+    let mut own_calls = OwnCalls::default();
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    move |call: &SystemCall| {
+        if !own_calls.contain(call) {
+            return Effect::Proceed;
+        }
+        if moves_stream_bytes(call) && rng.random_bool(SHORT_PART) {
+            return Effect::Shorten(rng.random_range(1..=MAX_SHORT_BYTES));
+        }
+        let errors = TRANSIENT_ERRORS
+            .iter()
+            .find(|(number, _)| *number == call.number);
+        match errors {
+            Some((_, errors)) if rng.random_bool(FAILING_PART) => {
+                Effect::Fail(errors[rng.random_range(0..errors.len())])
+            }
+            _ => Effect::Proceed,
+        }
+    }
+}
+
 /// An engine and a discovery service that many gateways share, one after the other or side by side.
 pub(crate) struct Surroundings {
     board: Board,
@@ -145,6 +237,8 @@
     config: PathBuf,
     pub listen: SocketAddr,
     started: Instant,
+    /// When the machine took the last connection.
+    connected: Cell<Instant>,
 }
 
 impl Surroundings {
@@ -158,6 +252,11 @@
         }
     }
 
+    /// The discovery service says nothing from here on: none of its answers wakes a gateway.
+    pub(crate) fn silence_discovery(&self) {
+        self.board.set(Mood::Silent);
+    }
+
     pub(crate) fn start(&self, plan: impl FaultPlan) -> FaultyGateway {
         let Configured { path, listen } = configure(&self.board, "", |_| {});
         let process = TracedProcess::spawn(command(&path), plan).unwrap();
@@ -166,6 +265,7 @@
             config: path,
             listen,
             started: Instant::now(),
+            connected: Cell::new(Instant::now()),
         }
     }
 
@@ -215,6 +315,7 @@
     pub(crate) fn connect_when_it_listens(&self, commands: &[u8]) -> Result<Client, String> {
         let both = [&login_packet("app", b"", "warehouse")[..], commands].concat();
         loop {
+            self.connected.set(Instant::now());
             match Client::open(self.listen, &both) {
                 Ok(mut client) => {
                     let timeout = client.stream.set_read_timeout(Some(BUDGET));
@@ -234,11 +335,12 @@
         }
     }
 
-    pub(crate) fn signal(&self, signal: Signal) {
-        self.process.signal(signal);
+    /// How long ago the last connection was begun.
+    pub(crate) fn connected_for(&self) -> Duration {
+        self.connected.get().elapsed()
     }
 
-    pub(crate) fn expect_end(&self) -> Result<(), String> {
+    fn expect_end(&self) -> Result<(), String> {
         match self.process.wait(ENDS_WITHIN) {
             Some(ProcessEnd::Exited(0)) => Ok(()),
             Some(end) => Err(format!("ended by {end:?}")),
@@ -254,7 +356,7 @@
     }
 }
 
-fn query() -> Vec<u8> {
+pub(crate) fn query() -> Vec<u8> {
     query_packet(&commented(BUDGET.as_millis() as u64, "SELECT 1"))
 }
 
--- a/crates/gateway/tests/system_calls.rs
+++ b/crates/gateway/tests/system_calls.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::os::fd::{AsFd, OwnedFd};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -151,6 +151,111 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+#[test]
+fn a_client_whose_connection_could_not_be_accepted_at_once_is_served_soon() {
+    // Without an answer of the discovery service nothing else wakes the gateway for a second and a half.
+    const SOON: Duration = Duration::from_secs(1);
+    let surroundings = Surroundings::new();
+    surroundings.silence_discovery();
+    let further_errors = [Errno::EMFILE, Errno::ENOMEM, Errno::EHOSTUNREACH];
+    for errno in ACCEPT_ERRORS.iter().copied().chain(further_errors) {
+        let is_accept = |call: &SystemCall| call.number == libc::SYS_accept4;
+        let first_fails = move |occurrence| match occurrence {
+            1 => Effect::Fail(errno),
+            _ => Effect::Proceed,
+        };
+        let gateway = surroundings.start(by_occurrence(is_accept, first_fails));
+        let mut client = gateway.connect_when_it_listens(&query()).unwrap();
+        client.answer().unwrap();
+        let waited = gateway.connected_for();
+        assert!(waited < SOON, "{errno}: answered after {waited:?}");
+    }
+}
+
+#[test]
+fn a_gateway_whose_waits_lose_their_events_still_serves() {
+    let life = Surroundings::new().live(every_second_wait_loses_its_events());
+    life.outcome.unwrap();
+    assert!(counter(&life.log, "event_loop_failures") > 0);
+}
+
+#[test]
+fn transfers_of_one_byte_each_lose_nothing() {
+    let life = Surroundings::new().live(byte_by_byte());
+    life.outcome.unwrap();
+    assert_eq!(counter(&life.log, "log_lines_lost"), 0, "{}", life.log);
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_at_a_reload_is_read_later() {
+    let is_open = |call: &SystemCall| call.number == libc::SYS_openat;
+    // The first is that of the start.
+    let reload_fails = |occurrence| match occurrence {
+        2..=4 => Effect::Fail(Errno::EMFILE),
+        _ => Effect::Proceed,
+    };
+    let life = Surroundings::new().live(by_occurrence(is_open, reload_fails));
+    life.outcome.unwrap();
+    let reloads = (
+        counter(&life.log, "reloads"),
+        counter(&life.log, "reloads_failed"),
+    );
+    assert_eq!(reloads, (1, 0), "{}", life.log);
+}
+
+#[test]
+fn a_log_tells_how_many_of_its_lines_were_lost() {
+    let some_fail = |occurrence| match occurrence {
+        2..=3 => Effect::Fail(Errno::ENOSPC),
+        _ => Effect::Proceed,
+    };
+    let life = Surroundings::new().live(by_occurrence(writes_log, some_fail));
+    life.outcome.unwrap();
+    let notice = "log: 2 lines could not be written\n";
+    assert!(life.log.contains(notice), "{}", life.log);
+    assert_eq!(counter(&life.log, "log_lines_lost"), 2);
+}
+
+#[test]
+fn failures_by_chance_lose_no_statement() {
+    let seeds: Vec<u64> = (1..=24).collect();
+    let broken = broken_by(&seeds, |seed| by_chance(*seed));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// A sub-command that prints more than a line, with its standard output there.
+fn print_to(stdout: OwnedFd) -> Output {
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let Configured { path, .. } = configure(&board, "", |_| {});
+    let output = Command::new(env!("CARGO_BIN_EXE_laurelhitch"))
+        .arg("check")
+        .arg(&path)
+        .env_remove("LAURELHITCH_OPERATOR")
+        .stdout(Stdio::from(stdout))
+        .output()
+        .unwrap();
+    std::fs::remove_file(path).unwrap();
+    output
+}
+
+#[test]
+fn a_command_whose_output_cannot_be_written_says_so_in_one_line() {
+    let (disk, _) = unwritable(Unwritable::FullDisk);
+    let output = print_to(disk);
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1), "{said}");
+    assert_eq!(said.lines().count(), 1, "{said}");
+}
+
+#[test]
+fn a_command_whose_reader_has_gone_ends_quietly() {
+    let (pipe, _) = unwritable(Unwritable::NobodyReads);
+    let output = print_to(pipe);
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(0), "{said}");
+    assert_eq!(said, "");
+}
+
 /// Where a log goes that cannot be written.
 #[derive(Clone, Copy, Debug)]
 enum Unwritable {
