A key file that cannot be looked at is not taken for a missing one

Seen with a link that points to itself, which nobody can look at, root neither: both tests of this commit fail without the change.

At fault: path.exists() in keyfiles.rs and credentials/token.rs, and .ok() in cluster/key_folder.rs, which answer 'no' to any failure. So for a moment's EIO a gateway took the revocation list for empty and trusted revoked tokens; 'token revoke' replaced the list by one line; 'keys announce' the index by one key; 'fleet-keys add' made a new key sign, and 'fleet-keys remove' dropped the signing one.

Change: read_if_present tells a missing file from one that cannot be read. A start waits for key files that cannot be read for now, and the watch of keys reads a change again for 5 s before it reports a failure (it had forgotten the change). The UDP endpoint reads its keys before it binds, no longer leaves its source registered when they cannot be used, and does not spin while receiving fails.

--- a/crates/gateway/src/cluster/endpoint.rs
+++ b/crates/gateway/src/cluster/endpoint.rs
@@ -19,6 +19,7 @@
 use super::quota_leases::QuotaLeases;
 use crate::clock::boottime_now;
 use crate::discovery::registry::EngineRegistry;
+use crate::machine_errors::is_transfer_shortage;
 use crate::socket::{EventLoopHandle, EventSource, LoopEvents};
 
 /// Datagrams read in one turn: a flood costs a turn no more than checking so many authentication tags.
@@ -37,6 +38,17 @@
     Keys(#[from] KeyFolderError),
 }
 
+impl ClusterError {
+    /// Whether it may pass by itself.
+    #[must_use]
+    pub fn passes_by_itself(&self) -> bool {
+        match self {
+            ClusterError::Bind(..) => true,
+            ClusterError::Keys(error) => error.passes_by_itself(),
+        }
+    }
+}
+
 /// The socket to the other gateways, and the control plane that it carries datagrams for.
 pub struct ClusterEndpoint {
     config: MembershipConfig,
@@ -66,6 +78,7 @@
         seed: u64,
     ) -> Result<Self, ClusterError> {
         let bind_error = |error| ClusterError::Bind(config.bind, error);
+        let key_ring = key_folder::read(&config.keys_folder)?;
         let socket = UdpSocket::bind(config.bind).map_err(bind_error)?;
         socket.set_nonblocking(true).map_err(bind_error)?;
         let socket = Rc::new(socket);
@@ -76,7 +89,7 @@
             address: config.advertise,
             locality: config.locality.clone(),
             seeds: config.seeds.clone(),
-            key_ring: key_folder::read(&config.keys_folder)?,
+            key_ring,
             config: config.protocol.clone(),
             rng_seed: boot_seed(now, seed),
         };
@@ -162,9 +175,10 @@
                 Ok((length, from)) => drop(self.control.receive(now, from, &buffer[..length])),
                 Err(error) => match error.kind() {
                     ErrorKind::WouldBlock => self.readable = false,
-                    // Refused: an earlier datagram of ours reached no socket; this one is fine.
-                    ErrorKind::Interrupted | ErrorKind::ConnectionRefused => {}
-                    _ => return,
+                    // Without buffers the next datagram announces itself, as each one does.
+                    _ if is_transfer_shortage(&error) => self.readable = false,
+                    // What became of an earlier datagram of ours, refused or unreachable; the next one here is fine.
+                    _ => {}
                 },
             }
         }
--- a/crates/gateway/src/cluster/key_folder.rs
+++ b/crates/gateway/src/cluster/key_folder.rs
@@ -10,6 +10,7 @@
 use zeroize::Zeroizing;
 
 use crate::keyfiles::{self, FilesError};
+use crate::machine_errors::is_file_unreadable_for_now;
 
 /// Bytes of a key.
 const KEY_BYTES: usize = 32;
@@ -47,6 +48,18 @@
     pub signing: Option<String>,
 }
 
+impl KeyFolderError {
+    /// Whether a file could not be read for a reason that may pass by itself.
+    #[must_use]
+    pub fn passes_by_itself(&self) -> bool {
+        match self {
+            KeyFolderError::Io(_, error) => is_file_unreadable_for_now(error),
+            KeyFolderError::File(error) => error.passes_by_itself(),
+            _ => false,
+        }
+    }
+}
+
 fn check_name(name: &str) -> Result<(), KeyFolderError> {
     let is_allowed = |c: char| c.is_ascii_alphanumeric() || c == '_' || c == '-';
     let has_allowed_length = (1..=MAX_NAME_LEN).contains(&name.len());
@@ -72,7 +85,7 @@
 /// Lists the keys of the folder.
 ///
 /// # Errors
-/// The folder cannot be read.
+/// The folder, or the file that names the signing key, cannot be read.
 pub fn list(folder: &Path) -> Result<KeyNames, KeyFolderError> {
     let io_error = |error| KeyFolderError::Io(folder.into(), error);
     let mut accepted = Vec::new();
@@ -81,10 +94,11 @@
         accepted.extend(key_name(&path).map(str::to_owned));
     }
     accepted.sort();
-    let signing = fs::read_to_string(folder.join(SIGNING_KEY_FILE))
-        .ok()
-        .map(|text| text.trim().to_owned());
-    Ok(KeyNames { accepted, signing })
+    let signing = keyfiles::read_if_present(&folder.join(SIGNING_KEY_FILE))?;
+    Ok(KeyNames {
+        accepted,
+        signing: signing.map(|text| text.trim().to_owned()),
+    })
 }
 
 /// Reads all keys of the folder.
@@ -114,8 +128,9 @@
     if path.exists() {
         return Err(FilesError::Exists(path).into());
     }
+    let is_first = list(folder)?.signing.is_none();
     keyfiles::write_secret(&path, keyfiles::hex(key).as_bytes())?;
-    if list(folder)?.signing.is_none() {
+    if is_first {
         set_signing_key(folder, name)?;
     }
     Ok(())
--- a/crates/gateway/src/credentials/token.rs
+++ b/crates/gateway/src/credentials/token.rs
@@ -1,7 +1,6 @@
 //! `laurelhitch token`: tokens of callers.
 
 use std::collections::BTreeSet;
-use std::fs;
 use std::path::{Path, PathBuf};
 
 use admission::interface::Timestamp;
@@ -153,11 +152,7 @@
 
 fn revoke(folder: &Path, token: Option<&str>, caller: Option<&str>) -> CommandResult {
     let path = keyfiles::revocation_path(folder);
-    let mut text = if path.exists() {
-        fs::read_to_string(&path)?
-    } else {
-        String::new()
-    };
+    let mut text = keyfiles::read_if_present(&path)?.unwrap_or_default();
     if !text.is_empty() && !text.ends_with('\n') {
         text.push('\n');
     }
--- a/crates/gateway/src/keyfiles.rs
+++ b/crates/gateway/src/keyfiles.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::io::{self, Write};
+use std::io::{self, ErrorKind, Write};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 
@@ -13,6 +13,8 @@
 use thiserror::Error;
 use zeroize::Zeroizing;
 
+use crate::machine_errors::is_file_unreadable_for_now;
+
 /// The index of keys.
 const INDEX_FILE: &str = "index.json";
 /// The revocation list.
@@ -42,6 +44,14 @@
     Exists(PathBuf),
 }
 
+impl FilesError {
+    /// Whether a file could not be read for a reason that may pass by itself.
+    #[must_use]
+    pub fn passes_by_itself(&self) -> bool {
+        matches!(self, FilesError::Io(_, error) if is_file_unreadable_for_now(error))
+    }
+}
+
 /// All that the folder holds for those who verify tokens.
 pub struct Files {
     /// Which keys there are, and their lifecycle.
@@ -83,6 +93,19 @@
     }
 }
 
+/// Reads a file; none: there is no such file. Any other failure is an error, since a file that cannot be looked at may well
+/// be there.
+///
+/// # Errors
+/// It cannot be read.
+pub fn read_if_present(path: &Path) -> Result<Option<String>, FilesError> {
+    match fs::read_to_string(path) {
+        Ok(text) => Ok(Some(text)),
+        Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(FilesError::Io(path.into(), error)),
+    }
+}
+
 /// Reads a file of `N` bytes in hexadecimal digits.
 ///
 /// # Errors
@@ -121,15 +144,21 @@
 /// # Errors
 /// There is an index that cannot be used.
 pub fn read_index_or_default(folder: &Path) -> Result<KeyIndex, FilesError> {
-    if !index_path(folder).exists() {
-        return Ok(KeyIndex::default());
+    let path = index_path(folder);
+    match read_if_present(&path)? {
+        Some(text) => parse_index(path, &text),
+        None => Ok(KeyIndex::default()),
     }
-    read_index(folder)
 }
 
 fn read_index(folder: &Path) -> Result<KeyIndex, FilesError> {
     let path = index_path(folder);
-    KeyIndex::parse(&read_text(&path)?).map_err(|error| FilesError::Index(path, error))
+    let text = read_text(&path)?;
+    parse_index(path, &text)
+}
+
+fn parse_index(path: PathBuf, text: &str) -> Result<KeyIndex, FilesError> {
+    KeyIndex::parse(text).map_err(|error| FilesError::Index(path, error))
 }
 
 /// Reads the secret half of a key.
@@ -161,10 +190,7 @@
 
 fn read_revocation_list(folder: &Path) -> Result<RevocationList, FilesError> {
     let path = revocation_path(folder);
-    if !path.exists() {
-        return Ok(RevocationList::default());
-    }
-    let text = read_text(&path)?;
+    let text = read_if_present(&path)?.unwrap_or_default();
     RevocationList::parse(&text).map_err(|error| FilesError::Revocation(path, error.line))
 }
 
--- a/crates/gateway/src/keywatch.rs
+++ b/crates/gateway/src/keywatch.rs
@@ -15,10 +15,14 @@
 use thiserror::Error;
 
 use crate::keyfiles::{self, Files, FilesError};
+use crate::machine_errors::is_file_unreadable_for_now;
 
 /// How often the files are looked at. With the time to read them it bounds the time from a change to its effect.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How often files that cannot be read for now are read again before that is told: 5 s.
+const MAX_READ_RETRIES: usize = 20;
+
 /// Why the files cannot be used.
 #[derive(Debug, Error)]
 pub enum WatchError {
@@ -33,6 +37,18 @@
     Tls(PathBuf, rustls::Error),
 }
 
+impl WatchError {
+    /// Whether a file could not be read for a reason that may pass by itself.
+    #[must_use]
+    pub fn passes_by_itself(&self) -> bool {
+        match self {
+            WatchError::Files(error) => error.passes_by_itself(),
+            WatchError::Pem(_, PemError::Io(error)) => is_file_unreadable_for_now(error),
+            WatchError::Pem(..) | WatchError::Tls(..) => false,
+        }
+    }
+}
+
 /// Everything that authentication of callers needs.
 pub struct Known {
     /// The key folder.
@@ -110,13 +126,22 @@
     mut seen: ModificationTimes,
     sender: &SyncSender<ReadResult>,
 ) {
+    let mut retries = 0;
     loop {
         thread::sleep(POLL_INTERVAL);
         let current = ModificationTimes::read(callers);
         if current == seen {
             continue;
         }
-        if sender.send(read(callers)).is_err() {
+        let result = read(callers);
+        // The change is still there to be seen at the next look.
+        let is_unreadable_for_now = result.as_ref().is_err_and(WatchError::passes_by_itself);
+        if is_unreadable_for_now && retries < MAX_READ_RETRIES {
+            retries += 1;
+            continue;
+        }
+        retries = 0;
+        if sender.send(result).is_err() {
             return;
         }
         seen = current;
--- a/crates/gateway/src/lifecycle/start.rs
+++ b/crates/gateway/src/lifecycle/start.rs
@@ -22,7 +22,7 @@
 use crate::config::{Config, Operated};
 use crate::discovery::DiscoveryClient;
 use crate::engines::EngineTransport;
-use crate::keywatch;
+use crate::keywatch::{self, WatchError};
 use crate::service::{Service, ServiceConfig};
 use crate::socket::{EventLoopHandle, LoopEvents};
 
@@ -77,11 +77,10 @@
         let known_events = std::mem::take(&mut config.known.events);
         service.on_discovery_events(now, &known_events);
         if let Some(callers) = &operated.callers {
-            authenticate_callers(&mut service, &handle, callers)?;
+            authenticate_callers(&mut service, &handle, callers, retry)?;
         }
         if let Some((name, terms)) = &operated.fleet {
-            let passes_by_itself = |error: &ClusterError| matches!(error, ClusterError::Bind(..));
-            let mut cluster = retry.run("fleet", passes_by_itself, || {
+            let mut cluster = retry.run("fleet", ClusterError::passes_by_itself, || {
                 ClusterEndpoint::bind(now, &handle, terms, name, config.seed)
             })?;
             share_quotas(&mut cluster, clock, &config, &operated)?;
@@ -180,8 +179,10 @@
     service: &mut Service,
     handle: &EventLoopHandle,
     callers: &IdentityConfig,
+    retry: StartRetry,
 ) -> Result<(), StartError> {
-    let known = keywatch::read(callers)?;
+    let read = || keywatch::read(callers);
+    let known = retry.run("callers", WatchError::passes_by_itself, read)?;
     let files = known.files;
     let mut verifier = TokenVerifier::new(unix_now(), callers.verifier);
     verifier.update(unix_now(), &files.index, &files.public_keys, files.revoked)?;
--- a/crates/gateway/tests/credentials.rs
+++ b/crates/gateway/tests/credentials.rs
@@ -101,3 +101,50 @@
     std::fs::write(folder.0.join("k2.pub"), "half").unwrap();
     assert!(fault(&["token", "verify", at, &token]).contains("k2.pub"));
 }
+
+/// A file that is there and cannot be looked at or read, also by root: a link to itself.
+fn make_unreadable(path: &std::path::Path) {
+    let _ = std::fs::remove_file(path);
+    std::os::unix::fs::symlink(path, path).unwrap();
+}
+
+/// A file that cannot be looked at is no file that is missing: nothing is trusted, changed or overwritten for it.
+#[test]
+fn a_file_that_cannot_be_looked_at_is_not_taken_for_a_missing_one() {
+    let name = format!("laurelhitch-unreadable-{}", std::process::id());
+    let folder = Folder(std::env::temp_dir().join(name));
+    let at = folder.0.to_str().unwrap();
+    fine(&["keys", "new", at, "k1"]);
+    fine(&["keys", "announce", at, "k1", "--signs-in-s", "0"]);
+    fine(&["token", "revoke", at, "--caller", "counter-7"]);
+    let revoked = gateway::keyfiles::revocation_path(&folder.0);
+    make_unreadable(&revoked);
+    assert!(
+        gateway::keyfiles::read(&folder.0).is_err(),
+        "no caller counts as revoked any more"
+    );
+    fault(&["token", "revoke", at, "--caller", "counter-8"]);
+    assert!(revoked.is_symlink(), "the list was overwritten");
+    std::fs::remove_file(&revoked).unwrap();
+
+    let index = gateway::keyfiles::index_path(&folder.0);
+    make_unreadable(&index);
+    fine(&["keys", "new", at, "k2"]);
+    fault(&["keys", "announce", at, "k2", "--signs-in-s", "0"]);
+    assert!(index.is_symlink(), "the index was overwritten");
+}
+
+/// The same for the file that names the fleet's signing key.
+#[test]
+fn a_fleet_whose_signing_key_cannot_be_looked_up_keeps_its_keys() {
+    let name = format!("laurelhitch-signs-{}", std::process::id());
+    let folder = Folder(std::env::temp_dir().join(name));
+    let at = folder.0.to_str().unwrap();
+    fine(&["fleet-keys", "add", at, "old"]);
+    let signs = folder.0.join("signs");
+    make_unreadable(&signs);
+    fault(&["fleet-keys", "add", at, "new"]);
+    assert!(signs.is_symlink(), "another key was made to sign");
+    fault(&["fleet-keys", "remove", at, "old"]);
+    assert!(folder.0.join("old.key").exists(), "the signing key is gone");
+}
