The log tells at debug what became of each statement, attempt and session, and why

Change: at debug a statement's opening with its request id, each attempt sent and ended with its event, its answer (completed, rejected, failed, client left), and each session's close with a typed reason (CloseReason). At info the phases closing and exits, which were missing. Nothing more at info: no line per statement there.

--- a/crates/gateway/src/clients/eviction.rs
+++ b/crates/gateway/src/clients/eviction.rs
@@ -4,7 +4,7 @@
 
 use super::Sessions;
 use super::events::SessionId;
-use super::session::{EvictionClass, Session, SessionState};
+use super::session::{CloseReason, EvictionClass, Session, SessionState};
 use crate::counters::Counters;
 
 /// Part of the sessions that may be new ones without a command while others are idle.
@@ -61,7 +61,7 @@
             if let Some(session) = self.sessions.get_mut(&id) {
                 session.socket.finish_writing();
             }
-            self.remove(id, counters);
+            self.remove(id, &CloseReason::Evicted, counters);
         }
         true
     }
--- a/crates/gateway/src/clients/input.rs
+++ b/crates/gateway/src/clients/input.rs
@@ -7,7 +7,7 @@
 use super::Sessions;
 use super::events::SessionId;
 use super::protocol::packet::{self, Packet};
-use super::session::{Session, SessionState};
+use super::session::{CloseReason, Session, SessionState};
 use crate::counters::Counters;
 
 /// What one session may have read and not processed, so that none slows the others: one packet of the largest.
@@ -62,9 +62,9 @@
 
     /// Reads a part and processes whole packets, up to the next one that waits for a response; then writes.
     pub(super) fn process(&mut self, now: Timestamp, id: SessionId, counters: &mut Counters) {
-        let failed = self.read(id).is_err() || self.look_for_end(now, id).is_err();
-        if failed {
-            return self.remove(id, counters);
+        let received = self.read(id).and_then(|()| self.look_for_end(now, id));
+        if let Err(error) = received {
+            return self.remove(id, &error.into(), counters);
         }
         self.process_packets(now, id, counters);
         self.plan_next_turn(now, id);
@@ -162,15 +162,15 @@
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
-        if session.socket.flush().is_err() {
-            return self.remove(id, counters);
+        if let Err(error) = session.socket.flush() {
+            return self.remove(id, &error.into(), counters);
         }
         session.note_written(now);
         if !session.is_answered() {
             return;
         }
         if session.socket.peer_finished {
-            return self.remove(id, counters);
+            return self.remove(id, &CloseReason::ClosedByClient, counters);
         }
         if session.state == SessionState::Closing {
             session.socket.finish_writing();
--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -23,6 +23,7 @@
 use admission::interface::{StatementId, Timestamp};
 use bytes::BytesMut;
 use rustls::ServerConfig;
+use tracing::debug;
 
 pub use events::{
     ClientEnd, Disconnection, KillOutcome, ProgressSubscriber, SessionEvent, SessionId,
@@ -31,7 +32,7 @@
 use protocol::Response;
 use protocol::handshake::{self, OfferedOptions};
 use protocol::response::ProgressReport;
-use session::{PendingResponse, Session};
+use session::{CloseReason, PendingResponse, Session};
 
 use crate::counters::Counters;
 use crate::socket::{EventLoopHandle, EventSource, Socket};
@@ -150,10 +151,11 @@
     }
 
     /// Drops a session.
-    fn remove(&mut self, id: SessionId, counters: &mut Counters) {
+    fn remove(&mut self, id: SessionId, reason: &CloseReason, counters: &mut Counters) {
         let Some(session) = self.sessions.remove(&id) else {
             return;
         };
+        debug!(session = id.0, statement = ?session.statement(), %reason, "session closed");
         counters.sessions_closed += 1;
         self.progress_subscribers.remove(&id);
         self.disconnected.remove(&id);
--- a/crates/gateway/src/clients/session.rs
+++ b/crates/gateway/src/clients/session.rs
@@ -1,9 +1,11 @@
 //! One session: its state, the response that it waits for, and how long it has stood still.
 
+use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
 
 use admission::interface::{StatementId, Timestamp};
+use thiserror::Error;
 
 use super::events::ClientEnd;
 use super::protocol::{ErrorCode, Response, packet};
@@ -49,6 +51,23 @@
     Idle,
 }
 
+/// Why a session is dropped.
+#[derive(Debug, Error)]
+pub(super) enum CloseReason {
+    /// The connection failed: reset, or out of time.
+    #[error("connection failed: {0}")]
+    ConnectionFailed(#[from] io::Error),
+    /// The client has closed, and is owed nothing.
+    #[error("closed by its client")]
+    ClosedByClient,
+    /// Its client does not read what was written, or did not close after its last response.
+    #[error("not read or not closed by its client in time")]
+    Unread,
+    /// Its place was needed.
+    #[error("evicted")]
+    Evicted,
+}
+
 pub(super) struct Session {
     pub(super) socket: Socket,
     pub(super) client_ip: IpAddr,
--- a/crates/gateway/src/clients/timeouts.rs
+++ b/crates/gateway/src/clients/timeouts.rs
@@ -4,7 +4,7 @@
 
 use super::Sessions;
 use super::events::SessionId;
-use super::session::{Session, SessionState};
+use super::session::{CloseReason, Session, SessionState};
 use crate::counters::Counters;
 
 /// Network fact: a client logs in and sends its first command at once, and is owed a response or a close within 3 s of
@@ -78,7 +78,7 @@
             .collect();
         for (id, is_unread) in timed_out {
             if is_unread {
-                self.remove(id, counters);
+                self.remove(id, &CloseReason::Unread, counters);
             } else {
                 self.shut_down(now, id, counters);
             }
--- a/crates/gateway/src/lifecycle/mod.rs
+++ b/crates/gateway/src/lifecycle/mod.rs
@@ -209,7 +209,14 @@
             Some(Transition::Close { exit_by }) => {
                 self.close_sessions(now, exit_by);
             }
-            Some(Transition::Exit) => self.phase = Phase::Exited,
+            Some(Transition::Exit) => {
+                info!(
+                    open = self.service.counters.open(),
+                    sessions = self.service.sessions.len(),
+                    "exits"
+                );
+                self.phase = Phase::Exited;
+            }
         }
         Ok(())
     }
@@ -253,6 +260,7 @@
                 .try_shut_down_all(now, &mut service.counters);
         if shut_down {
             self.acceptor.close();
+            info!(sessions = self.service.sessions.len(), "closing");
             self.phase = Phase::closing(now, exit_by);
         }
     }
--- a/crates/gateway/src/service/attempts.rs
+++ b/crates/gateway/src/service/attempts.rs
@@ -2,6 +2,7 @@
 
 use admission::interface::{AttemptEvent, AttemptNumber, StatementId, TimeDelta, Timestamp};
 use dispatch::{AttemptOrder, Decision, FollowUp};
+use tracing::debug;
 
 use super::Service;
 use crate::cluster::{AttemptCharge, ClusterEndpoint};
@@ -44,6 +45,12 @@
         };
         let ended = !is_in_flight(event);
         if ended {
+            debug!(
+                statement = id.0,
+                attempt = report.attempt.0,
+                ?event,
+                "attempt ended"
+            );
             statement
                 .in_flight
                 .retain(|attempt| *attempt != report.attempt);
@@ -64,6 +71,7 @@
         }
         if completed && is_answer_owed {
             self.counters.completed += 1;
+            debug!(statement = id.0, "statement completed");
             let pages = report.pages;
             self.answer(now, id, |response| {
                 response.result_set(pages.iter().map(|page| &page[..]))
@@ -129,6 +137,13 @@
             avoid: &statement.connections,
         };
         let connection = self.engines.send(now, &outgoing, &mut self.counters);
+        debug!(
+            statement = id.0,
+            attempt = order.attempt.0,
+            engine = order.engine.0,
+            ?connection,
+            "attempt sent"
+        );
         statement.connections.extend(connection);
     }
 
--- a/crates/gateway/src/service/endings.rs
+++ b/crates/gateway/src/service/endings.rs
@@ -3,7 +3,7 @@
 use admission::interface::{StatementId, TimeDelta, Timestamp};
 use bytes::BytesMut;
 use dispatch::Decision;
-use tracing::warn;
+use tracing::{debug, warn};
 
 use super::Service;
 use crate::clients::Disconnection;
@@ -60,6 +60,7 @@
         let in_flight = statement.in_flight.clone();
         self.statements.mark_answered(id);
         self.counters.client_left += 1;
+        debug!(statement = id.0, "its client left");
         self.scheduler.client_left(now, id);
         for attempt in in_flight {
             self.engines.abandon(now, id, attempt, &mut self.counters);
@@ -75,6 +76,7 @@
             let id = disconnection.statement;
             if self.is_withdrawable(now, &disconnection) && self.withdraw_attempts(now, id) {
                 self.counters.client_left += 1;
+                debug!(statement = id.0, "taken back, its client sends no more");
                 let decision = self
                     .scheduler
                     .reject_abandoned(now, id, LONGEST_RETRY_AFTER);
@@ -123,6 +125,8 @@
         retry_after: Option<TimeDelta>,
     ) {
         self.counters.rejected += 1;
+        let retry_after_ms = retry_after.map(|retry_after| retry_after.secs() * 1e3);
+        debug!(statement = id.0, ?retry_after_ms, "statement rejected");
         self.answer_rejected(now, id, retry_after);
     }
 
@@ -135,6 +139,7 @@
 
     pub(super) fn fail(&mut self, now: Timestamp, id: StatementId) {
         self.counters.failed += 1;
+        debug!(statement = id.0, "statement failed");
         self.answer_failed(now, id);
     }
 
--- a/crates/gateway/src/service/intake.rs
+++ b/crates/gateway/src/service/intake.rs
@@ -5,6 +5,7 @@
 
 use admission::interface::{StatementId, TimeDelta, Timestamp};
 use bytes::Bytes;
+use tracing::debug;
 
 use super::error::StatementError;
 use super::request::ValidStatement;
@@ -123,7 +124,14 @@
         let ValidStatement {
             request, sub_queue, ..
         } = statement;
+        let rid = String::from_utf8_lossy(&statement.request_id).into_owned();
         let id = self.register(now, session, statement);
+        debug!(
+            statement = id.0,
+            rid,
+            session = session.0,
+            "statement opened"
+        );
         self.counters.statements_accepted += 1;
         self.sessions.attach_statement(session, id);
         let decision = self.scheduler.pick(now, id, sub_queue, &request);
