--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use ::membership::Name;
+use ::quota::BudgetKind;
 use operator_config::{IdentityConfig, MembershipConfig, OperatorConfig, OperatorConfigError};
 use scheduler::Config as QueueConfig;
 use serde_json::Value;
@@ -13,26 +14,37 @@
 use crate::discovery::endpoints::{EndpointListError, EventBatch};
 use crate::machine_errors::is_file_unreadable_for_now;
 
+/// Why the configuration or the operator's file cannot be used.
 #[derive(Debug, Error)]
 pub enum ConfigError {
+    /// Neither the command line nor the environment names a configuration.
     #[error("RELAY_CONFIG is not set")]
     NoPath,
+    /// The configuration cannot be read.
     #[error("configuration {0}: {1}")]
     Unreadable(String, std::io::Error),
+    /// The configuration is not JSON.
     #[error("configuration: {0}")]
     Json(#[from] serde_json::Error),
+    /// A field of the configuration is missing or has a value of no use.
     #[error("configuration: {0} is missing or cannot be used")]
     Field(&'static str),
+    /// The events that the configuration holds cannot be read.
     #[error("configuration: known: {0}")]
     Known(#[from] EndpointListError),
+    /// A setting is missing or cannot be used.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The operator's file cannot be used.
     #[error(transparent)]
     Operator(#[from] OperatorConfigError),
+    /// In this file a queue's tenant is not the configuration's.
     #[error("{0}: queues.member.{1}: the configuration knows no such member")]
     Member(String, String),
+    /// In this file a budget's query class is not the configuration's.
     #[error("{0}: shares.relays_per_s.{1}: the configuration knows no such product")]
     QueryClass(String, String),
+    /// Beside this file the configuration's name is no name of a gateway.
     #[error("{0}: fleet.name: the configuration's name cannot be taken: {1}")]
     Name(String, ::membership::InvalidName),
 }
@@ -54,6 +66,7 @@
 /// The operator's file beside the configuration: what of it is in force at this gateway.
 #[derive(Clone, Debug, Default)]
 pub struct Operated {
+    /// Where it was read from; none: there is none.
     pub file: Option<PathBuf>,
     /// Budgets as this gateway's part of those of all; nothing where there are no queues.
     pub queues: Option<QueueConfig>,
@@ -66,6 +79,8 @@
 }
 
 impl Operated {
+    /// Reads the operator's file; without one nothing of it is in force.
+    ///
     /// # Errors
     /// The file cannot be used, or contradicts the configuration.
     pub fn read(file: Option<PathBuf>, config: &Config) -> Result<Self, ConfigError> {
@@ -73,48 +88,14 @@
             return Ok(Operated::default());
         };
         let operator = OperatorConfig::read(&path)?;
-        let known = config.settings.tenant_names()?;
-        if let Some(terms) = &operator.scheduler {
-            let unknown = terms
-                .tenants
-                .iter()
-                .find(|member| !known.is_empty() && !known.contains(&member.name));
-            if let Some(member) = unknown {
-                return Err(ConfigError::Member(
-                    path.display().to_string(),
-                    member.name.clone(),
-                ));
-            }
-        }
-        // Divided among all, a budget is whole here: what of it is this gateway's is told as it changes.
-        let divided = |of: &::quota::BudgetKind| matches!(of, ::quota::BudgetKind::Tenant(_));
-        let divided = operator
-            .quota
-            .as_ref()
-            .is_some_and(|terms| terms.budgets.iter().any(|b| divided(&b.kind)));
-        let part = if divided {
-            1.0
-        } else {
-            1.0 / config.settings.peers()?
-        };
-        let queues = operator.scheduler.map(|terms| terms.scaled(part));
-        let classes = config.settings.class_names()?;
-        let of = operator.quota.iter().flat_map(|terms| &terms.budgets);
-        let unknown = of.filter_map(|budget| match &budget.kind {
-            ::quota::BudgetKind::Retries(class) if !classes.contains(class) => Some(class.clone()),
-            _ => None,
-        });
-        if let Some(class) = unknown.into_iter().next() {
-            return Err(ConfigError::QueryClass(path.display().to_string(), class));
-        }
-        let named = |terms: MembershipConfig| {
-            let own = || {
-                Name::new(&config.name)
-                    .map_err(|e| ConfigError::Name(path.display().to_string(), e))
-            };
-            Ok::<_, ConfigError>((terms.name.clone().map_or_else(own, Ok)?, terms))
-        };
-        let fleet = operator.membership.map(named).transpose()?;
+        check_tenants(&operator, config, &path)?;
+        check_retry_budgets(&operator, config, &path)?;
+        let queue_share = queue_share(&operator, config)?;
+        let queues = operator.scheduler.map(|queues| queues.scaled(queue_share));
+        let fleet = operator
+            .membership
+            .map(|membership| named_membership(membership, config, &path))
+            .transpose()?;
         Ok(Operated {
             file: Some(path),
             queues,
@@ -123,29 +104,101 @@
             shares: operator.quota,
         })
     }
-}
 
-impl Operated {
-    /// Members of the lines, in their order.
+    /// Tenants of the queues, in their order.
+    #[must_use]
     pub fn member_names(&self) -> Vec<String> {
-        let members = self.queues.iter().flat_map(|terms| &terms.tenants);
-        members.map(|member| member.name.clone()).collect()
+        let tenants = self.queues.iter().flat_map(|queues| &queues.tenants);
+        tenants.map(|tenant| tenant.name.clone()).collect()
+    }
+}
+
+/// Queues name no tenant that the configuration does not know; one without tenants knows all.
+fn check_tenants(
+    operator: &OperatorConfig,
+    config: &Config,
+    path: &Path,
+) -> Result<(), ConfigError> {
+    let known = config.settings.tenant_names()?;
+    if known.is_empty() {
+        return Ok(());
+    }
+    let mut tenants = operator.scheduler.iter().flat_map(|queues| &queues.tenants);
+    match tenants.find(|tenant| !known.contains(&tenant.name)) {
+        Some(tenant) => Err(ConfigError::Member(
+            path.display().to_string(),
+            tenant.name.clone(),
+        )),
+        None => Ok(()),
     }
 }
 
+/// Budgets of retries name no query class that the configuration does not know.
+fn check_retry_budgets(
+    operator: &OperatorConfig,
+    config: &Config,
+    path: &Path,
+) -> Result<(), ConfigError> {
+    let known = config.settings.class_names()?;
+    let budgets = operator.quota.iter().flat_map(|quota| &quota.budgets);
+    for budget in budgets {
+        if let BudgetKind::Retries(class) = &budget.kind
+            && !known.contains(class)
+        {
+            let file = path.display().to_string();
+            return Err(ConfigError::QueryClass(file, class.clone()));
+        }
+    }
+    Ok(())
+}
+
+/// This gateway's part of the tenants' budgets: an even share, but all of each where leases divide them, since what of it is
+/// this gateway's is told as it changes.
+fn queue_share(operator: &OperatorConfig, config: &Config) -> Result<f64, ConfigError> {
+    let mut budgets = operator.quota.iter().flat_map(|quota| &quota.budgets);
+    if budgets.any(|budget| matches!(budget.kind, BudgetKind::Tenant(_))) {
+        return Ok(1.0);
+    }
+    Ok(1.0 / config.settings.peers()?)
+}
+
+/// Membership under the name that the operator's file gives this gateway, else under the configuration's.
+fn named_membership(
+    membership: MembershipConfig,
+    config: &Config,
+    path: &Path,
+) -> Result<(Name, MembershipConfig), ConfigError> {
+    let name = match &membership.name {
+        Some(name) => name.clone(),
+        None => Name::new(&config.name)
+            .map_err(|error| ConfigError::Name(path.display().to_string(), error))?,
+    };
+    Ok((name, membership))
+}
+
+/// What one gateway is told by its platform.
 pub struct Config {
+    /// The gateway's name, the same after a restart.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Of all chance.
     pub seed: u64,
+    /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may take, in MB.
     pub memory_mb: f64,
+    /// Where the discovery service is.
     pub board: SocketAddr,
+    /// The discovery service's events up to now.
     pub known: EventBatch,
+    /// The settings that all gateways share.
     pub settings: Settings,
 }
 
 impl Config {
     /// What another file says otherwise and a running program cannot take over; its board and list it can.
+    #[must_use]
     pub fn fixed_differences(&self, other: &Config) -> Vec<&'static str> {
         let same = [
             ("name", self.name == other.name),
@@ -161,12 +214,20 @@
             .collect()
     }
 
+    /// Reads the file.
+    ///
+    /// # Errors
+    /// It cannot be read or used.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let text = std::fs::read(path)
-            .map_err(|e| ConfigError::Unreadable(path.display().to_string(), e))?;
+            .map_err(|error| ConfigError::Unreadable(path.display().to_string(), error))?;
         Self::parse(&text)
     }
 
+    /// Reads a configuration from its JSON form.
+    ///
+    /// # Errors
+    /// The first field that is missing or cannot be used.
     pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
         let json: Value = serde_json::from_slice(text)?;
         let text = |name: &'static str| json[name].as_str().ok_or(ConfigError::Field(name));
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -22,7 +22,8 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("laurelhitch-wirehost: {error}");
+            // Without a reader of standard error the status alone tells.
+            let _ = writeln!(io::stderr(), "laurelhitch-wirehost: {error}");
             ExitCode::FAILURE
         }
     }
