Signals and addresses are read by our own code: libraries panic where they are cut

Seen while the open risks were gone through: nix's SignalFd::read_signal has unreachable!("partial read on signalfd"), which calloop's signals call. The standard library's accept and peer_addr assert on the length of the address in the same way (read, not forced).

Checked: Linux gives whole records, so it takes something that cuts reads in between, as the users' terms have it ('reads and writes may be short').

Change: lifecycle/signals.rs blocks and reads the signals itself, a cut or failed read is read again; it is asked after a failed wait too, and while a start waits for the machine, which then exits with 0. accept and the question whether a connection is up go by calls that assert nothing. Effect::Return for the harness.

--- a/crates/gateway/src/command/serve.rs
+++ b/crates/gateway/src/command/serve.rs
@@ -1,13 +1,16 @@
 //! `laurelhitch serve`.
 
+use std::error::Error;
 use std::path::PathBuf;
+use std::rc::Rc;
 
 use tracing_subscriber::EnvFilter;
 
 use super::{CommandResult, LogFormat, config_path};
 use crate::config::{Config, ConfigError, Operated};
+use crate::lifecycle::Lifecycle;
+use crate::lifecycle::signals::SignalReceiver;
 use crate::lifecycle::start_retry::StartRetry;
-use crate::lifecycle::{self, Lifecycle};
 use crate::log_output::LogWriter;
 
 /// The environment's name of the log's level.
@@ -18,7 +21,22 @@
 pub(super) fn serve(operator: Option<PathBuf>, format: LogFormat) -> CommandResult {
     // Before all else: a signal that comes while the program still starts waits.
     let retry = StartRetry::begin();
-    let signals = retry.run("signals", |_| true, lifecycle::signals)?;
+    let signals = Rc::new(retry.run("signals", |_| true, SignalReceiver::new)?);
+    let retry = retry.until_terminated(signals.clone());
+    match start(operator, format, signals.clone(), &retry) {
+        Ok(gateway) => Ok(gateway.run()?),
+        // Told to end while it waited for the machine: it has taken nothing, and owes nothing.
+        Err(_) if signals.is_termination_pending() => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+fn start(
+    operator: Option<PathBuf>,
+    format: LogFormat,
+    signals: Rc<SignalReceiver>,
+    retry: &StartRetry,
+) -> Result<Lifecycle, Box<dyn Error>> {
     retry.seed_hash_tables()?;
     start_log(format);
     let path = config_path(None)?;
@@ -28,8 +46,7 @@
     let operated = retry.run("start", ConfigError::passes_by_itself, || {
         Operated::read(operator.clone(), &config)
     })?;
-    Lifecycle::start(signals, path, config, operated, retry)?.run()?;
-    Ok(())
+    Ok(Lifecycle::start(signals, path, config, operated, retry)?)
 }
 
 fn start_log(format: LogFormat) {
--- a/crates/gateway/src/lifecycle/acceptor.rs
+++ b/crates/gateway/src/lifecycle/acceptor.rs
@@ -1,13 +1,17 @@
 //! The listening socket, and the clients that wait there to be accepted.
 
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
 use admission::interface::{TimeDelta, Timestamp};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use rustix::net::{AddressFamily, SocketFlags, SocketType, ipproto, socket_with, sockopt};
+use nix::libc::{sockaddr_in, sockaddr_in6};
+use rustix::net::{
+    AddressFamily, SocketAddrAny, SocketFlags, SocketType, acceptfrom_with, ipproto, socket_with,
+    sockopt,
+};
 use tracing::warn;
 
 use super::StartError;
@@ -89,6 +93,32 @@
     ip: IpAddr,
 }
 
+/// Takes the next connection off the backlog. The standard library's accept would panic at an address that it does not
+/// expect; a client without one that can be read is a client all the same.
+fn accept_client(listener: &TcpListener) -> io::Result<AcceptedClient> {
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let (socket, address) = acceptfrom_with(listener, flags)?;
+    let ip = address.and_then(ip_of);
+    Ok(AcceptedClient {
+        stream: Rc::new(TcpStream::from(socket)),
+        ip: ip.unwrap_or(Ipv4Addr::UNSPECIFIED.into()),
+    })
+}
+
+/// The IP address, where the machine gave all of one.
+fn ip_of(address: SocketAddrAny) -> Option<IpAddr> {
+    let needed_bytes = match address.address_family() {
+        AddressFamily::INET => size_of::<sockaddr_in>(),
+        AddressFamily::INET6 => size_of::<sockaddr_in6>(),
+        _ => return None,
+    };
+    if (address.addr_len() as usize) < needed_bytes {
+        return None;
+    }
+    let address = SocketAddr::try_from(address).ok()?;
+    Some(address.ip())
+}
+
 /// Accepts clients, as far as there is room for them.
 #[derive(Default)]
 pub(super) struct Acceptor {
@@ -189,13 +219,8 @@
             if !self.has_unaccepted {
                 return None;
             }
-            let error = match self.listener.as_ref()?.socket.accept() {
-                Ok((stream, address)) => {
-                    return Some(AcceptedClient {
-                        stream: Rc::new(stream),
-                        ip: address.ip(),
-                    });
-                }
+            let error = match accept_client(&self.listener.as_ref()?.socket) {
+                Ok(client) => return Some(client),
                 Err(error) => error,
             };
             if error.kind() == io::ErrorKind::WouldBlock {
--- a/crates/gateway/src/lifecycle/mod.rs
+++ b/crates/gateway/src/lifecycle/mod.rs
@@ -3,6 +3,7 @@
 mod acceptor;
 mod phase;
 mod reload;
+pub mod signals;
 mod start;
 pub mod start_retry;
 mod timer;
@@ -11,11 +12,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
 
 use admission::interface::{TimeDelta, Timestamp};
 use calloop::EventLoop;
-use calloop::signals::Signal;
 use identity::KeyIndexError;
+use nix::sys::signal::Signal;
 use settings::SettingsError;
 use thiserror::Error;
 use tracing::{info, warn};
@@ -24,7 +26,7 @@
 pub use self::phase::DrainTimes;
 use self::phase::{Conditions, Phase, Transition};
 use self::reload::PendingReload;
-pub use self::start::signals;
+use self::signals::SignalReceiver;
 use self::start_retry::NoRandomBytes;
 use self::timer::WakeTimer;
 use self::wait::LoopFailures;
@@ -70,6 +72,7 @@
 pub struct Lifecycle {
     phase: Phase,
     event_loop: EventLoop<'static, LoopEvents>,
+    signals: Rc<SignalReceiver>,
     acceptor: Acceptor,
     clock: Clock,
     timer: WakeTimer,
@@ -132,8 +135,10 @@
         if now - due > LATE_TURN {
             self.service.counters.late_turns += 1;
         }
-        for signal in std::mem::take(&mut ready.signals) {
-            self.on_signal(now, signal);
+        if std::mem::take(&mut ready.has_signals) {
+            for signal in self.signals.take() {
+                self.on_signal(now, signal);
+            }
         }
         self.retry_reload(now);
         for known in std::mem::take(&mut ready.key_changes) {
--- a/crates/gateway/src/lifecycle/start.rs
+++ b/crates/gateway/src/lifecycle/start.rs
@@ -1,16 +1,17 @@
 //! The start: the event loop's sources and the leases of the service, made from the configuration.
 
 use std::path::PathBuf;
+use std::rc::Rc;
 
 use admission::interface::Timestamp;
 use calloop::EventLoop;
-use calloop::signals::{Event as SignalEvent, Signal, Signals};
 use identity::TokenVerifier;
 use operator_config::IdentityConfig;
 use tracing::info;
 
 use super::acceptor::Acceptor;
 use super::phase::{DrainTimes, Phase};
+use super::signals::SignalReceiver;
 use super::start_retry::StartRetry;
 use super::timer::WakeTimer;
 use super::wait::LoopFailures;
@@ -38,21 +39,6 @@
 
 const BYTES_PER_MB: f64 = (1 << 20) as f64;
 
-/// The signals that a gateway handles. Asked for before all else: one that comes while the program still starts waits,
-/// where it would have ended the program by the machine's own rule.
-///
-/// # Errors
-/// The machine gives none.
-pub fn signals() -> Result<Signals, StartError> {
-    let handled = [
-        Signal::SIGTERM,
-        Signal::SIGINT,
-        Signal::SIGHUP,
-        Signal::SIGUSR1,
-    ];
-    Ok(Signals::new(&handled)?)
-}
-
 impl Lifecycle {
     /// Makes all leases and tells them what the configuration knows.
     ///
@@ -61,16 +47,16 @@
     /// # Errors
     /// The event loop, a setting, a key file or the fleet's address cannot be used.
     pub fn start(
-        signals: Signals,
+        signals: Rc<SignalReceiver>,
         source: PathBuf,
         mut config: Config,
         operated: Operated,
-        retry: StartRetry,
+        retry: &StartRetry,
     ) -> Result<Self, StartError> {
         let event_loop: EventLoop<'static, LoopEvents> =
             retry.run("event loop", |_| true, EventLoop::try_new)?;
         let handle = event_loop.handle();
-        watch_signals(&handle, signals, retry)?;
+        retry.run("signals", |_| true, || signals.watch(&handle))?;
         let clock = Clock::start();
         let now = clock.now();
         let mut service = new_service(now, &handle, &config, &operated)?;
@@ -91,6 +77,7 @@
         Ok(Lifecycle {
             phase: Phase::starting(now),
             event_loop,
+            signals,
             acceptor: Acceptor::default(),
             clock,
             timer: WakeTimer::default(),
@@ -105,34 +92,6 @@
     }
 }
 
-fn watch_signals(
-    handle: &EventLoopHandle,
-    signals: Signals,
-    retry: StartRetry,
-) -> Result<(), StartError> {
-    let on_signal = |event: SignalEvent, _: &mut (), ready: &mut LoopEvents| {
-        ready.signals.push(event.signal());
-    };
-    let mut unwatched = Some(signals);
-    retry.run(
-        "signals",
-        |_| true,
-        || {
-            let Some(signals) = unwatched.take() else {
-                return Ok(());
-            };
-            handle
-                .insert_source(signals, on_signal)
-                .map(drop)
-                .map_err(|failure| {
-                    unwatched = Some(failure.inserted);
-                    failure.error
-                })
-        },
-    )?;
-    Ok(())
-}
-
 fn new_service(
     now: Timestamp,
     handle: &EventLoopHandle,
@@ -179,7 +138,7 @@
     service: &mut Service,
     handle: &EventLoopHandle,
     callers: &IdentityConfig,
-    retry: StartRetry,
+    retry: &StartRetry,
 ) -> Result<(), StartError> {
     let read = || keywatch::read(callers);
     let known = retry.run("callers", WatchError::passes_by_itself, read)?;
--- a/crates/gateway/src/lifecycle/start_retry.rs
+++ b/crates/gateway/src/lifecycle/start_retry.rs
@@ -4,12 +4,14 @@
 use std::fmt::Display;
 use std::hash::RandomState;
 use std::panic::catch_unwind;
+use std::rc::Rc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use admission::interface::TimeDelta;
 use thiserror::Error;
 
+use super::signals::SignalReceiver;
 use crate::log_output;
 
 /// How long a start tries. A gateway that is not ready 30 s after its start is given up by its platform.
@@ -30,9 +32,11 @@
 pub struct NoRandomBytes;
 
 /// The patience of one start.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone)]
 pub struct StartRetry {
     give_up_at: Instant,
+    /// One that ends the gateway ends its patience; none before signals can be read.
+    signals: Option<Rc<SignalReceiver>>,
 }
 
 impl StartRetry {
@@ -41,15 +45,33 @@
     pub fn begin() -> Self {
         StartRetry {
             give_up_at: Instant::now() + PATIENCE,
+            signals: None,
         }
     }
 
+    /// The same patience, which ends with a signal that ends the gateway.
+    #[must_use]
+    pub fn until_terminated(self, signals: Rc<SignalReceiver>) -> Self {
+        StartRetry {
+            signals: Some(signals),
+            ..self
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        let is_terminated = self
+            .signals
+            .as_ref()
+            .is_some_and(|signals| signals.is_termination_pending());
+        is_terminated || Instant::now() >= self.give_up_at
+    }
+
     /// Tries until it succeeds, fails for good or the patience is over. The first failure goes to the log.
     ///
     /// # Errors
     /// The last failure.
     pub fn run<T, E: Display>(
-        self,
+        &self,
         what: &str,
         passes_by_itself: impl Fn(&E) -> bool,
         mut attempt: impl FnMut() -> Result<T, E>,
@@ -60,7 +82,7 @@
                 Ok(value) => return Ok(value),
                 Err(error) => error,
             };
-            if !passes_by_itself(&error) || Instant::now() >= self.give_up_at {
+            if !passes_by_itself(&error) || self.is_over() {
                 return Err(error);
             }
             if is_first_failure {
@@ -77,7 +99,7 @@
     ///
     /// # Errors
     /// It gives none for too long.
-    pub fn seed_hash_tables(self) -> Result<(), NoRandomBytes> {
+    pub fn seed_hash_tables(&self) -> Result<(), NoRandomBytes> {
         self.run(
             "hash tables",
             |_| true,
--- a/crates/gateway/src/lifecycle/wait.rs
+++ b/crates/gateway/src/lifecycle/wait.rs
@@ -1,7 +1,7 @@
 //! One wait of the event loop, and what follows where it fails.
 //!
-//! Each socket tells of news only once. A wait that fails may have taken such events and lost them, so after it all sockets
-//! count as ready. While waits go on failing, the gateway serves by looking at all sockets again and again.
+//! Each socket tells of news only once. A wait that fails may have taken such events and lost them, so after it signals
+//! are looked for and all sockets count as ready. While waits go on failing, the gateway serves by looking at all sockets again and again.
 
 use std::thread;
 use std::time::Duration;
@@ -57,6 +57,7 @@
         }
         self.timer.disarm(&self.event_loop.handle());
         thread::sleep(self.loop_failures.next_pause());
+        ready.has_signals = true;
         ready.sources.extend(self.all_sources());
     }
 
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -55,8 +55,8 @@
 pub struct LoopEvents {
     /// Sources that are ready, in the order in which they became so; one may stand here twice.
     pub sources: Vec<EventSource>,
-    /// Signals that came.
-    pub signals: Vec<calloop::signals::Signal>,
+    /// Signals came, and are to be read.
+    pub has_signals: bool,
     /// The timer has fired, and is removed.
     pub timer_fired: bool,
     /// Key files that changed, or why they cannot be used.
@@ -172,10 +172,11 @@
     /// It failed.
     pub fn is_connected(&self) -> io::Result<bool> {
         sockopt::socket_error(&*self.stream)??;
-        match self.stream.peer_addr() {
+        // Only whether there is a peer is asked: the standard library would panic at an address that it does not expect.
+        match rustix::net::getpeername(&*self.stream) {
             Ok(_) => Ok(true),
-            Err(error) if error.kind() == ErrorKind::NotConnected => Ok(false),
-            Err(error) => Err(error),
+            Err(Errno::NOTCONN) => Ok(false),
+            Err(error) => Err(error.into()),
         }
     }
 
--- a/crates/gateway/tests/support/faults.rs
+++ b/crates/gateway/tests/support/faults.rs
@@ -1,7 +1,7 @@
 //! A gateway whose system calls fail as a plan says, and the life that it has to lead all the same.
 
 use std::cell::Cell;
-use std::io::{self, Read, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
@@ -340,7 +340,21 @@
         self.connected.get().elapsed()
     }
 
-    fn expect_end(&self) -> Result<(), String> {
+    /// Waits until its log has a line with these words.
+    pub(crate) fn says(&mut self, words: &str) {
+        let log = BufReader::new(self.process.stderr.take().unwrap());
+        let mut lines = log.lines().map_while(Result::ok);
+        assert!(
+            lines.any(|line| line.contains(words)),
+            "never said {words:?}"
+        );
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        self.process.signal(signal);
+    }
+
+    pub(crate) fn expect_end(&self) -> Result<(), String> {
         match self.process.wait(ENDS_WITHIN) {
             Some(ProcessEnd::Exited(0)) => Ok(()),
             Some(end) => Err(format!("ended by {end:?}")),
--- a/crates/gateway/tests/system_calls.rs
+++ b/crates/gateway/tests/system_calls.rs
@@ -203,6 +203,36 @@
     assert_eq!(reloads, (1, 0), "{}", life.log);
 }
 
+/// A read of the descriptor of signals: its records are of this size, and nothing else is read in such pieces.
+fn reads_signal(call: &SystemCall) -> bool {
+    const RECORD_BYTES: u64 = 128;
+    call.number == libc::SYS_read && call.arguments[2] == RECORD_BYTES
+}
+
+#[test]
+fn a_signal_that_is_read_in_part_ends_nothing() {
+    let half_a_record = |occurrence| match occurrence {
+        1 => Effect::Return(64),
+        2 => Effect::Fail(Errno::EINTR),
+        3 => Effect::Fail(Errno::EIO),
+        _ => Effect::Proceed,
+    };
+    let life = Surroundings::new().live(by_occurrence(reads_signal, half_a_record));
+    life.outcome.unwrap();
+    assert_eq!(counter(&life.log, "reloads"), 1, "{}", life.log);
+}
+
+#[test]
+fn a_start_that_waits_for_the_machine_heeds_sigterm() {
+    let is_open = |call: &SystemCall| call.number == libc::SYS_openat;
+    let never = |_| Effect::Fail(Errno::ENFILE);
+    let surroundings = Surroundings::new();
+    let mut gateway = surroundings.start(by_occurrence(is_open, never));
+    gateway.says("it is tried again");
+    gateway.signal(process_harness::system_calls::Signal::SIGTERM);
+    gateway.expect_end().unwrap();
+}
+
 #[test]
 fn a_log_tells_how_many_of_its_lines_were_lost() {
     let some_fail = |occurrence| match occurrence {
--- a/crates/process_harness/src/system_calls.rs
+++ b/crates/process_harness/src/system_calls.rs
@@ -39,6 +39,8 @@
     Proceed,
     /// It is not made, and returns this error.
     Fail(Errno),
+    /// It is not made, and returns this value as if it had been.
+    Return(u64),
     /// It is made with its third argument, the length of a buffer, cut to this many bytes.
     Shorten(u64),
 }
@@ -152,7 +154,7 @@
     let options = ptrace::Options::PTRACE_O_TRACESYSGOOD | ptrace::Options::PTRACE_O_EXITKILL;
     ptrace::setoptions(pid, options)?;
     let mut forwarded_signal = None;
-    let mut result_to_set = None;
+    let mut result_to_set: Option<u64> = None;
     loop {
         match ptrace::syscall(pid, forwarded_signal.take()) {
             // It was killed while it stood still; the next wait tells.
@@ -182,17 +184,16 @@
     }
 }
 
-/// The process stands before or behind a system call. `result_to_set`: the error that the call before which it stood last
-/// is to return.
+/// The process stands before or behind a system call. `result_to_set`: what the call before which it stood last is to return.
 fn on_system_call(
     pid: Pid,
     plan: &mut impl FaultPlan,
-    result_to_set: &mut Option<Errno>,
+    result_to_set: &mut Option<u64>,
 ) -> nix::Result<()> {
     let info = ptrace::syscall_info(pid)?;
     if info.op == libc::PTRACE_SYSCALL_INFO_EXIT {
-        if let Some(errno) = result_to_set.take() {
-            set_result(pid, errno)?;
+        if let Some(result) = result_to_set.take() {
+            set_result(pid, result)?;
         }
         return Ok(());
     }
@@ -208,7 +209,11 @@
     match plan.effect(&call) {
         Effect::Proceed => Ok(()),
         Effect::Fail(errno) => {
-            *result_to_set = Some(errno);
+            *result_to_set = Some(i64::from(-(errno as i32)).cast_unsigned());
+            skip_call(pid)
+        }
+        Effect::Return(value) => {
+            *result_to_set = Some(value);
             skip_call(pid)
         }
         Effect::Shorten(length) => set_length(pid, call.arguments[2].min(length)),
@@ -223,9 +228,9 @@
 }
 
 #[cfg(target_arch = "x86_64")]
-fn set_result(pid: Pid, errno: Errno) -> nix::Result<()> {
+fn set_result(pid: Pid, result: u64) -> nix::Result<()> {
     let mut registers = ptrace::getregs(pid)?;
-    registers.rax = i64::from(-(errno as i32)).cast_unsigned();
+    registers.rax = result;
     ptrace::setregs(pid, registers)
 }
 
