--- a/crates/gateway/src/lifecycle/start_retry.rs
+++ b/crates/gateway/src/lifecycle/start_retry.rs
@@ -1,5 +1,5 @@
 //! A start tries again what the machine refuses for a moment: descriptors, buffers, memory, a file, an address. Only what it
-//! refuses for [`PATIENCE`] ends the program.
+//! refuses for 25 s ends the program.
 
 use std::fmt::Display;
 use std::hash::RandomState;
--- a/crates/gateway/src/lifecycle/wait.rs
+++ b/crates/gateway/src/lifecycle/wait.rs
@@ -1,7 +1,8 @@
 //! One wait of the event loop, and what follows where it fails.
 //!
 //! Each socket tells of news only once. A wait that fails may have taken such events and lost them, so after it signals
-//! are looked for and all sockets count as ready. While waits go on failing, the gateway serves by looking at all sockets again and again.
+//! are looked for and all sockets count as ready. While waits go on failing, the gateway serves by looking at all sockets
+//! again and again.
 
 use std::thread;
 use std::time::Duration;
