--- a/crates/gateway/tests/support/faults.rs
+++ b/crates/gateway/tests/support/faults.rs
@@ -5,8 +5,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread::sleep;
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use process_harness::system_calls::libc::{self, c_long};
@@ -15,6 +16,7 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use serde_json::Value;
 use stand_ins::board::{Board, Mood};
 use stand_ins::client::{Answer, Client, login_packet, packet, query_packet};
 use stand_ins::engine::Engine;
@@ -218,6 +220,36 @@
     }
 }
 
+/// Lives that are led side by side.
+const WORKERS: usize = 6;
+
+/// Leads a life for each fault, a few side by side; the faults that broke one, with what was seen.
+pub(crate) fn broken_by<F, P>(faults: &[F], plan: impl Fn(&F) -> P + Sync) -> Vec<String>
+where
+    F: std::fmt::Debug + Sync,
+    P: FaultPlan,
+{
+    let surroundings = Surroundings::new();
+    let next = AtomicUsize::new(0);
+    let broken = Mutex::new(Vec::new());
+    let work = || {
+        while let Some(fault) = faults.get(next.fetch_add(1, Ordering::Relaxed)) {
+            let life = surroundings.live(plan(fault));
+            if let Err(why) = life.outcome {
+                let last_lines: Vec<&str> = life.log.lines().rev().take(3).collect();
+                let line = format!("{fault:?}: {why}; last lines of its log: {last_lines:?}");
+                broken.lock().unwrap().push(line);
+            }
+        }
+    };
+    thread::scope(|scope| {
+        for _ in 0..WORKERS {
+            scope.spawn(work);
+        }
+    });
+    broken.into_inner().unwrap()
+}
+
 /// An engine and a discovery service that many gateways share, one after the other or side by side.
 pub(crate) struct Surroundings {
     board: Board,
@@ -243,8 +275,12 @@
 
 impl Surroundings {
     pub(crate) fn new() -> Self {
+        Self::with_engine(engine(1))
+    }
+
+    /// With this engine, which the list holds from the start.
+    pub(crate) fn with_engine(engine: Engine) -> Self {
         let board = Board::start("127.0.0.1:0").unwrap();
-        let engine = engine(1);
         tell_engines(&board, &[engine.address]);
         Surroundings {
             board,
@@ -252,13 +288,27 @@
         }
     }
 
+    /// Tells an event of the list that describes these engines.
+    pub(crate) fn tell(&self, engines: Vec<Value>) {
+        self.board.tell(false, engines);
+    }
+
     /// The discovery service says nothing from here on: none of its answers wakes a gateway.
     pub(crate) fn silence_discovery(&self) {
         self.board.set(Mood::Silent);
     }
 
     pub(crate) fn start(&self, plan: impl FaultPlan) -> FaultyGateway {
-        let Configured { path, listen } = configure(&self.board, "", |_| {});
+        self.start_with(plan, |_| {})
+    }
+
+    /// Starts a gateway whose configuration is changed like this.
+    pub(crate) fn start_with(
+        &self,
+        plan: impl FaultPlan,
+        change: impl FnOnce(&mut Value),
+    ) -> FaultyGateway {
+        let Configured { path, listen } = configure(&self.board, "", change);
         let process = TracedProcess::spawn(command(&path), plan).unwrap();
         FaultyGateway {
             process,
--- a/crates/gateway/tests/system_calls.rs
+++ b/crates/gateway/tests/system_calls.rs
@@ -9,9 +9,7 @@
 use std::fs::File;
 use std::os::fd::{AsFd, OwnedFd};
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread;
 use std::time::{Duration, Instant};
 
 use process_harness::system_calls::libc::{self, c_long};
@@ -23,39 +21,9 @@
 use support::faults::*;
 use support::*;
 
-/// Lives that are led side by side.
-const WORKERS: usize = 6;
-
 /// Of the calls of one kind so many are failed, from the first: the later ones come in no other place.
 const MAX_OCCURRENCES: usize = 12;
 
-/// Leads a life for each fault, a few side by side; the faults that broke one, with what was seen.
-fn broken_by<F, P>(faults: &[F], plan: impl Fn(&F) -> P + Sync) -> Vec<String>
-where
-    F: std::fmt::Debug + Sync,
-    P: FaultPlan,
-{
-    let surroundings = Surroundings::new();
-    let next = AtomicUsize::new(0);
-    let broken = Mutex::new(Vec::new());
-    let work = || {
-        while let Some(fault) = faults.get(next.fetch_add(1, Ordering::Relaxed)) {
-            let life = surroundings.live(plan(fault));
-            if let Err(why) = life.outcome {
-                let last_lines: Vec<&str> = life.log.lines().rev().take(3).collect();
-                let line = format!("{fault:?}: {why}; last lines of its log: {last_lines:?}");
-                broken.lock().unwrap().push(line);
-            }
-        }
-    };
-    thread::scope(|scope| {
-        for _ in 0..WORKERS {
-            scope.spawn(work);
-        }
-    });
-    broken.into_inner().unwrap()
-}
-
 /// Each call that a life without faults makes, with each error that it may return for a moment.
 fn single_faults() -> Vec<SingleFault> {
     let calls = Arc::new(Mutex::new(Vec::new()));
@@ -134,11 +102,14 @@
         lasting(libc::SYS_connect, Errno::ENETUNREACH),
         lasting(libc::SYS_epoll_create1, Errno::EMFILE),
         lasting(libc::SYS_epoll_ctl, Errno::ENOMEM),
+        lasting(libc::SYS_epoll_pwait, Errno::EINTR),
         lasting(libc::SYS_eventfd2, Errno::ENFILE),
         lasting(libc::SYS_listen, Errno::EADDRINUSE),
         lasting(libc::SYS_openat, Errno::ENFILE),
         lasting(libc::SYS_openat, Errno::EIO),
         lasting(libc::SYS_read, Errno::EIO),
+        lasting(libc::SYS_recvfrom, Errno::EINTR),
+        lasting(libc::SYS_sendto, Errno::EINTR),
         lasting(libc::SYS_sendto, Errno::ENOBUFS),
         lasting(libc::SYS_signalfd4, Errno::ENFILE),
         lasting(libc::SYS_socket, Errno::ENFILE),
@@ -227,7 +198,10 @@
 fn an_address_that_is_cut_ends_nothing() {
     let tells_address =
         |call: &SystemCall| [libc::SYS_accept4, libc::SYS_getpeername].contains(&call.number);
-    let cut = |_| Effect::CutAddress(4);
+    let cut = |_| Effect::AnswerLength {
+        argument: 2,
+        bytes: 4,
+    };
     let life = Surroundings::new().live(by_occurrence(tells_address, cut));
     life.outcome.unwrap();
 }
--- a/crates/process_harness/src/system_calls.rs
+++ b/crates/process_harness/src/system_calls.rs
@@ -1,8 +1,8 @@
 //! Makes chosen system calls of a process fail, or do only a part of their work, as Linux documents that they may.
 //!
 //! The process runs under ptrace, which needs no special rights for a child of one's own. A [`FaultPlan`] sees each call
-//! before the kernel does, so the k-th call of a kind fails in the same way at each run. Threads that the process starts
-//! run untraced.
+//! before the kernel does, so the k-th call of a kind fails in the same way at each run. Clocks, which Linux lets a process
+//! read without a call, are read by calls here. Threads that the process starts run untraced.
 
 use std::io;
 use std::os::unix::process::CommandExt;
@@ -23,6 +23,9 @@
 /// The value that the kernel takes for "no call": it skips the one that is about to be made.
 const SKIPPED_CALL: u64 = u64::MAX;
 
+/// The size of a word of the process's memory.
+const WORD_BYTES: u64 = 8;
+
 /// A system call that the process is about to make.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SystemCall {
@@ -41,10 +44,19 @@
     Fail(Errno),
     /// It is not made, and returns this value as if it had been.
     Return(u64),
-    /// It is made, and the length that it says an address has, where its third argument points, is cut to this many bytes.
-    CutAddress(u32),
+    /// It is made, and the length that it gives back beside an answer becomes another one.
+    AnswerLength {
+        /// Which of the call's arguments points to the length, from zero.
+        argument: usize,
+        /// The length that the process finds there, in bytes.
+        bytes: u32,
+    },
     /// It is made with its third argument, the length of a buffer, cut to this many bytes.
     Shorten(u64),
+    /// It is made, and the time that it writes, where its second argument points, is so many seconds later.
+    ShiftTime(i64),
+    /// It is made, and the time that it writes, where its second argument points, gets these nanoseconds.
+    SetNanoseconds(i64),
 }
 
 /// Decides what becomes of each system call of a process.
@@ -155,6 +167,7 @@
     }
     let options = ptrace::Options::PTRACE_O_TRACESYSGOOD | ptrace::Options::PTRACE_O_EXITKILL;
     ptrace::setoptions(pid, options)?;
+    hide_clock_page(pid)?;
     let mut forwarded_signal = None;
     let mut after_call = AfterCall::Nothing;
     loop {
@@ -197,6 +210,16 @@
         place: u64,
         length: u32,
     },
+    /// The time at this place becomes so many seconds later.
+    ShiftTime {
+        place: u64,
+        seconds: i64,
+    },
+    /// The time at this place gets these nanoseconds.
+    SetNanoseconds {
+        place: u64,
+        nanoseconds: i64,
+    },
 }
 
 /// The process stands before or behind a system call.
@@ -211,6 +234,11 @@
             AfterCall::Nothing => Ok(()),
             AfterCall::SetResult(result) => set_result(pid, result),
             AfterCall::SetLength { place, length } => write_length(pid, place, length),
+            AfterCall::ShiftTime { place, seconds } => shift_time(pid, place, seconds),
+            AfterCall::SetNanoseconds { place, nanoseconds } => {
+                let address = (place + WORD_BYTES) as ptrace::AddressType;
+                ptrace::write(pid, address, nanoseconds)
+            }
         };
     }
     if info.op != libc::PTRACE_SYSCALL_INFO_ENTRY {
@@ -225,19 +253,69 @@
     match plan.effect(&call) {
         Effect::Proceed => Ok(()),
         Effect::Fail(errno) => {
-            *after_call = AfterCall::SetResult(i64::from(-(errno as i32)).cast_unsigned());
+            *after_call = AfterCall::SetResult(error_result(errno));
             skip_call(pid)
         }
         Effect::Return(value) => {
             *after_call = AfterCall::SetResult(value);
             skip_call(pid)
         }
-        Effect::CutAddress(length) => {
-            let place = call.arguments[2];
-            *after_call = AfterCall::SetLength { place, length };
+        Effect::AnswerLength { argument, bytes } => {
+            *after_call = AfterCall::SetLength {
+                place: call.arguments[argument],
+                length: bytes,
+            };
             Ok(())
         }
         Effect::Shorten(length) => set_length(pid, call.arguments[2].min(length)),
+        Effect::ShiftTime(seconds) => {
+            let place = call.arguments[1];
+            *after_call = AfterCall::ShiftTime { place, seconds };
+            Ok(())
+        }
+        Effect::SetNanoseconds(nanoseconds) => {
+            let place = call.arguments[1];
+            *after_call = AfterCall::SetNanoseconds { place, nanoseconds };
+            Ok(())
+        }
+    }
+}
+
+/// What a call that fails returns to the process.
+fn error_result(errno: Errno) -> u64 {
+    i64::from(-(errno as i32)).cast_unsigned()
+}
+
+/// The seconds of a time stand first in it.
+fn shift_time(pid: Pid, place: u64, seconds: i64) -> nix::Result<()> {
+    let address = place as ptrace::AddressType;
+    let told = ptrace::read(pid, address)?;
+    ptrace::write(pid, address, told.wrapping_add(seconds))
+}
+
+/// Hides the machine's page of clocks from a process that has just been made, so that it asks for the time by system calls.
+///
+/// Above its stack pointer a new process finds the number of its arguments, the arguments, a zero, the environment, a zero,
+/// and pairs of a key and a value, one of which says where that page is.
+#[cfg(target_arch = "x86_64")]
+fn hide_clock_page(pid: Pid) -> nix::Result<()> {
+    let read = |place: u64| ptrace::read(pid, place as ptrace::AddressType);
+    let stack = ptrace::getregs(pid)?.rsp;
+    let arguments = read(stack)?.cast_unsigned();
+    let mut place = stack + WORD_BYTES * (arguments + 2);
+    while read(place)? != 0 {
+        place += WORD_BYTES;
+    }
+    place += WORD_BYTES;
+    loop {
+        match read(place)?.cast_unsigned() {
+            libc::AT_NULL => return Ok(()),
+            libc::AT_SYSINFO_EHDR => {
+                let ignored = libc::AT_IGNORE.cast_signed();
+                return ptrace::write(pid, place as ptrace::AddressType, ignored);
+            }
+            _ => place += 2 * WORD_BYTES,
+        }
     }
 }
 
