The machine's answers on sockets are taken at the length that they have

Seen: 101 at the first connection where getsockopt(TCP_INFO) answers with another length than the 280 bytes of the C library's present struct, as older and newer versions of Linux do; forced under ptrace on the unmodified program. Checked too: SO_ERROR of another length (101 at the first poll), addresses of 1 byte or over 128 (101 at accept and getpeername). Lines at fault: nix's getsockopt in Socket::last_received, rustix's socket_error and getpeername in Socket::is_connected, acceptfrom_with in the acceptor, and the standard library's recv_from in the endpoint between gateways (the same class, not forced).

Change: socket_queries asks the machine itself, and takes an answer that is too short for none.

--- a/crates/gateway/src/cluster/endpoint.rs
+++ b/crates/gateway/src/cluster/endpoint.rs
@@ -21,6 +21,7 @@
 use crate::discovery::registry::EngineRegistry;
 use crate::machine_errors::is_transfer_shortage;
 use crate::socket::{EventLoopHandle, EventSource, LoopEvents};
+use crate::socket_queries::{self, ReceivedDatagram};
 
 /// Datagrams read in one turn: a flood costs a turn no more than checking so many authentication tags.
 const MAX_READS_PER_TURN: usize = 64;
@@ -170,9 +171,13 @@
             if !self.readable {
                 return;
             }
-            match self.socket.recv_from(&mut buffer) {
-                // A rejected datagram is counted by its reason in membership.
-                Ok((length, from)) => drop(self.control.receive(now, from, &buffer[..length])),
+            match socket_queries::receive_datagram(&*self.socket, &mut buffer) {
+                // A rejected datagram is counted by its reason in membership; one from nowhere cannot be answered.
+                Ok(ReceivedDatagram { length, from }) => {
+                    if let Some(from) = from {
+                        let _ = self.control.receive(now, from, &buffer[..length]);
+                    }
+                }
                 Err(error) => match error.kind() {
                     ErrorKind::WouldBlock => self.readable = false,
                     // Without buffers the next datagram announces itself, as each one does.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod machine_errors;
 pub mod service;
 pub mod socket;
+pub mod socket_queries;
 pub mod status;
--- a/crates/gateway/src/lifecycle/acceptor.rs
+++ b/crates/gateway/src/lifecycle/acceptor.rs
@@ -7,11 +7,7 @@
 use admission::interface::{TimeDelta, Timestamp};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use nix::libc::{sockaddr_in, sockaddr_in6};
-use rustix::net::{
-    AddressFamily, SocketAddrAny, SocketFlags, SocketType, acceptfrom_with, ipproto, socket_with,
-    sockopt,
-};
+use rustix::net::{AddressFamily, SocketFlags, SocketType, ipproto, socket_with, sockopt};
 use tracing::warn;
 
 use super::StartError;
@@ -19,6 +15,7 @@
 use crate::counters::Counters;
 use crate::machine_errors::is_of_waiting_connection;
 use crate::socket::{EventLoopHandle, EventSource, LoopEvents};
+use crate::socket_queries;
 
 /// Connections that may wait to be accepted. The library asks for 128; what finds no place is only tried again a second
 /// later.
@@ -93,32 +90,16 @@
     ip: IpAddr,
 }
 
-/// Takes the next connection off the backlog. The standard library's accept would panic at an address that it does not
-/// expect; a client without one that can be read is a client all the same.
+/// Takes the next connection off the backlog. A client whose address the machine does not tell is a client all the same.
 fn accept_client(listener: &TcpListener) -> io::Result<AcceptedClient> {
-    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-    let (socket, address) = acceptfrom_with(listener, flags)?;
-    let ip = address.and_then(ip_of);
+    let accepted = socket_queries::accept(listener)?;
+    let unknown = IpAddr::from(Ipv4Addr::UNSPECIFIED);
     Ok(AcceptedClient {
-        stream: Rc::new(TcpStream::from(socket)),
-        ip: ip.unwrap_or(Ipv4Addr::UNSPECIFIED.into()),
+        stream: Rc::new(accepted.stream),
+        ip: accepted.peer.map_or(unknown, |peer| peer.ip()),
     })
 }
 
-/// The IP address, where the machine gave all of one.
-fn ip_of(address: SocketAddrAny) -> Option<IpAddr> {
-    let needed_bytes = match address.address_family() {
-        AddressFamily::INET => size_of::<sockaddr_in>(),
-        AddressFamily::INET6 => size_of::<sockaddr_in6>(),
-        _ => return None,
-    };
-    if (address.addr_len() as usize) < needed_bytes {
-        return None;
-    }
-    let address = SocketAddr::try_from(address).ok()?;
-    Some(address.ip())
-}
-
 /// Accepts clients, as far as there is room for them.
 #[derive(Default)]
 pub(super) struct Acceptor {
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -14,27 +14,17 @@
 use crate::engines::ConnectionId;
 use crate::keywatch::{Known, WatchError};
 use crate::machine_errors::is_transfer_shortage;
+use crate::socket_queries;
 use admission::interface::{TimeDelta, Timestamp};
 use bytes::{Buf, BufMut, BytesMut};
 use calloop::generic::Generic;
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use nix::sys::socket::getsockopt;
-use nix::{getsockopt_impl, libc, sockopt_impl};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
-use rustix::net::{AddressFamily, SocketFlags, SocketType, connect, ipproto, socket_with, sockopt};
+use rustix::net::{AddressFamily, SocketFlags, SocketType, connect, ipproto, socket_with};
 use rustls::{ServerConfig, ServerConnection};
 
-sockopt_impl!(
-    /// What the machine knows of a TCP connection.
-    TcpInfo,
-    GetOnly,
-    libc::IPPROTO_TCP,
-    libc::TCP_INFO,
-    libc::tcp_info
-);
-
 /// What a readiness event is of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EventSource {
@@ -69,8 +59,6 @@
 /// The most that is read from the machine at a time, and the largest write buffer that an idle socket keeps, in bytes.
 const CHUNK_BYTES: usize = 16 << 10;
 
-const MICROS_PER_MILLI: i64 = 1000;
-
 /// How soon a transfer is tried again for which the machine had no buffers: no event tells when it has some.
 const SHORTAGE_PAUSE: Duration = Duration::from_millis(5);
 
@@ -171,13 +159,8 @@
     ///
     /// It failed.
     pub fn is_connected(&self) -> io::Result<bool> {
-        sockopt::socket_error(&*self.stream)??;
-        // Only whether there is a peer is asked: the standard library would panic at an address that it does not expect.
-        match rustix::net::getpeername(&*self.stream) {
-            Ok(_) => Ok(true),
-            Err(Errno::NOTCONN) => Ok(false),
-            Err(error) => Err(error.into()),
-        }
+        socket_queries::take_connection_error(&self.stream)?;
+        socket_queries::has_peer(&self.stream)
     }
 
     /// There may be something to read, or the peer's end: an event of the socket told so.
@@ -309,9 +292,8 @@
     /// segment that only acknowledges counts too. `now` where the machine cannot tell.
     #[must_use]
     pub fn last_received(&self, now: Timestamp) -> Timestamp {
-        let silent_ms =
-            getsockopt(&*self.stream, TcpInfo).map_or(0, |info| info.tcpi_last_ack_recv);
-        now + TimeDelta::from_micros(-i64::from(silent_ms) * MICROS_PER_MILLI)
+        let silent = socket_queries::silent_for(&self.stream).unwrap_or_default();
+        now + TimeDelta::from_secs(-silent.as_secs_f64())
     }
 
     /// Puts bytes behind those that are to be written; [`flush`](Self::flush) writes them.
