Starting engines are dated by the youngest one, not by this machine's wall clock alone

Seen: a gateway whose wall clock is an hour ahead at its start takes an engine that starts for a warm one: 4 of 60 statements sent within 1.5 s, 0 with the right time (forced under ptrace, unmodified program). Line at fault: EngineRegistry::describe passed on the list's Unix time as if this machine's clock were right.

Change: discovery::start_times. No engine is heard of long before it starts, so the youngest ever heard of bounds how far the clocks are apart; engines are dated once, as they are first heard of, never before the told time. A start over a minute ahead shows a clock that is behind, and counts as now. Costs with the right time: the youngest engine at a start is dated as just started; the benches follow.

--- a/crates/gateway/benches/list.rs
+++ b/crates/gateway/benches/list.rs
@@ -70,7 +70,7 @@
 ) -> (f64, f64) {
     let change = events[0].change.as_ref().expect("a change of the list");
     let begun = Instant::now();
-    let applied = names.apply(change);
+    let applied = names.apply(Timestamp::from_secs(1.0), change);
     let named_us = begun.elapsed().as_secs_f64() * 1e6;
     let begun = Instant::now();
     dispatch.on_endpoint_update(Timestamp::from_secs(1.0) + TimeDelta::ZERO, &applied.update);
--- a/crates/gateway/src/discovery/mod.rs
+++ b/crates/gateway/src/discovery/mod.rs
@@ -8,6 +8,7 @@
 pub mod http;
 mod poll;
 pub mod registry;
+pub mod start_times;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/gateway/src/service/endpoints.rs
+++ b/crates/gateway/src/service/endpoints.rs
@@ -19,7 +19,7 @@
     /// Applies events of discovery, in their order.
     pub fn on_discovery_events(&mut self, now: Timestamp, events: &[DiscoveryEvent]) {
         for change in events.iter().filter_map(|event| event.change.as_ref()) {
-            let applied = self.endpoints.registry.apply(change);
+            let applied = self.endpoints.registry.apply(now, change);
             info!(
                 snapshot = change.is_snapshot(),
                 engines = change.endpoints().len(),
--- a/crates/gateway/tests/codecs.rs
+++ b/crates/gateway/tests/codecs.rs
@@ -1,6 +1,6 @@
 //! The codecs under every split of their bytes, and under bytes that are nothing at all.
 
-use admission::interface::{EndpointUpdate, EngineStage};
+use admission::interface::{EndpointUpdate, EngineStage, Timestamp};
 use bytes::BytesMut;
 use gateway::clients::comment::{CommentError, CommentedStatement};
 use gateway::clients::protocol::handshake::{FirstPacket, check_login, first_packet};
@@ -386,7 +386,9 @@
 fn endpoint_events_become_engine_updates_by_uid() {
     let events = |text: &str| EventBatch::from_json(&serde_json::from_str(text).unwrap());
     let mut registry = EngineRegistry::new(vec!["west".into(), "east".into()], vec!["std".into()]);
+    let now = Timestamp::from_secs(1000.0);
     let first = registry.apply(
+        now,
         events(SNAPSHOT_ANSWER).unwrap().events[0]
             .change
             .as_ref()
@@ -401,7 +403,7 @@
     );
     // Another engine at the same address is another engine; the one that is not in a whole list is gone.
     let other = events(&SNAPSHOT_ANSWER.replace("e-0000002a", "s-11")).unwrap();
-    let second = registry.apply(other.events[0].change.as_ref().unwrap());
+    let second = registry.apply(now, other.events[0].change.as_ref().unwrap());
     assert_eq!(
         second.addresses[0],
         EngineAddress {
