--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Drops a session whose state may be half changed.
+    pub fn abandon(&mut self, id: SessionId, counters: &mut Counters) {
+        self.remove(id, &CloseReason::Fault, counters);
+    }
+
     /// Sessions that are open.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/gateway/src/clients/session.rs
+++ b/crates/gateway/src/clients/session.rs
@@ -66,6 +66,9 @@
     /// Its place was needed.
     #[error("evicted")]
     Evicted,
+    /// Its turn panicked.
+    #[error("a fault of the gateway")]
+    Fault,
 }
 
 pub(super) struct Session {
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -81,6 +81,7 @@
     log_lines_lost: "Lines of the log that could not be written.",
     accepts_failed: "Connections that could not be accepted at once: gone by then, or the machine was short of something.",
     event_loop_failures: "Waits of the event loop that failed; all sockets are looked at after each.",
+    panics: "Pieces of work that panicked: a fault of the gateway, or an answer of the machine that a library does not expect.",
 }
 
 impl Counters {
--- a/crates/gateway/src/credentials/mod.rs
+++ b/crates/gateway/src/credentials/mod.rs
@@ -5,12 +5,12 @@
 
 use std::error::Error;
 use std::path::Path;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use identity::{KeyId, KeyIndex};
 
 pub use self::keys::{Keys, keys};
 pub use self::token::{Issue, Token, token};
+use crate::clock::since_epoch;
 use crate::keyfiles;
 
 /// What a command ends with; the error is the one line that its user reads.
@@ -18,10 +18,7 @@
 
 /// The Unix time, in seconds.
 fn unix_now_s() -> f64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_secs_f64()
+    since_epoch().as_secs_f64()
 }
 
 /// A key's id, if it is a valid one.
--- a/crates/gateway/src/discovery/mod.rs
+++ b/crates/gateway/src/discovery/mod.rs
@@ -199,6 +199,12 @@
         }
     }
 
+    /// Drops a poll whose state may be half changed.
+    pub fn abandon_poll(&mut self, now: Timestamp, poll_id: u64, counters: &mut Counters) {
+        self.polls.remove(&poll_id);
+        self.on_failure(now, "a fault of the gateway", counters);
+    }
+
     /// Takes the events of a response, and polls on: on the same connection where it carries another request.
     fn on_response(
         &mut self,
--- a/crates/gateway/src/engines/connection.rs
+++ b/crates/gateway/src/engines/connection.rs
@@ -34,6 +34,8 @@
     StalledResponse,
     #[error("half a response where none is expected")]
     UnexpectedResponse,
+    #[error("a fault of the gateway")]
+    Fault,
     #[error(transparent)]
     Decode(#[from] DecodeError),
     #[error(transparent)]
@@ -52,6 +54,7 @@
             | ConnectionError::Result(_) => true,
             ConnectionError::ConnectTimeout
             | ConnectionError::ClosedByEngine
+            | ConnectionError::Fault
             | ConnectionError::Io(_) => false,
         }
     }
--- a/crates/gateway/src/engines/ending.rs
+++ b/crates/gateway/src/engines/ending.rs
@@ -206,6 +206,16 @@
         true
     }
 
+    /// Closes a connection whose state may be half changed; what is in flight on it ends.
+    pub fn abandon_connection(
+        &mut self,
+        now: Timestamp,
+        id: ConnectionId,
+        counters: &mut Counters,
+    ) {
+        self.fail_connection(now, id, &ConnectionError::Fault, counters);
+    }
+
     /// A connection is of no further use: it closes, and what is in flight on it ends.
     pub(super) fn fail_connection(
         &mut self,
--- a/crates/gateway/src/keywatch.rs
+++ b/crates/gateway/src/keywatch.rs
@@ -2,6 +2,7 @@
 //! the event loop never waits for a disk. What it read goes over a channel that holds one message; while that is full the
 //! thread waits, and a change in that time is seen afterwards.
 
+use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
@@ -113,12 +114,16 @@
 type ReadResult = Result<Known, WatchError>;
 
 /// Starts the thread. It ends once the channel is dropped and a file changes.
-#[must_use]
-pub fn watch(callers: IdentityConfig) -> Channel<ReadResult> {
+///
+/// # Errors
+/// The machine is short of threads or memory. It may be tried again.
+pub fn watch(callers: IdentityConfig) -> io::Result<Channel<ReadResult>> {
     let (sender, channel) = sync_channel(1);
     let seen = ModificationTimes::read(&callers);
-    thread::spawn(move || send_changes(&callers, seen, &sender));
-    channel
+    thread::Builder::new()
+        .name("key files".to_owned())
+        .spawn(move || send_changes(&callers, seen, &sender))?;
+    Ok(channel)
 }
 
 fn send_changes(
--- a/crates/gateway/src/lifecycle/mod.rs
+++ b/crates/gateway/src/lifecycle/mod.rs
@@ -7,6 +7,7 @@
 mod start;
 pub mod start_retry;
 mod timer;
+mod turn;
 mod wait;
 
 use std::io;
@@ -14,7 +15,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
-use admission::interface::{TimeDelta, Timestamp};
+use admission::interface::Timestamp;
 use calloop::EventLoop;
 use identity::KeyIndexError;
 use nix::sys::signal::Signal;
@@ -29,18 +30,15 @@
 use self::signals::SignalReceiver;
 use self::start_retry::NoRandomBytes;
 use self::timer::WakeTimer;
+use self::turn::TurnPanics;
 use self::wait::LoopFailures;
-use crate::clients::SessionId;
 use crate::clock::Clock;
 use crate::cluster::{ClusterEndpoint, ClusterError};
 use crate::config::{Config, Operated};
 use crate::keywatch::WatchError;
 use crate::log_output;
 use crate::service::Service;
-use crate::socket::{EventSource, LoopEvents};
-
-/// A turn that begins so much after it was due is late.
-const LATE_TURN: TimeDelta = TimeDelta::from_micros(5_000);
+use crate::socket::LoopEvents;
 
 /// Why the gateway cannot start, or cannot go on.
 #[derive(Debug, Error)]
@@ -51,6 +49,9 @@
     /// The event loop failed.
     #[error("event loop: {0}")]
     Loop(#[from] calloop::Error),
+    /// The thread that watches key files cannot be started.
+    #[error("watch of key files: {0}")]
+    KeyWatch(io::Error),
     /// A setting is missing or cannot be used.
     #[error(transparent)]
     Settings(#[from] SettingsError),
@@ -77,6 +78,7 @@
     clock: Clock,
     timer: WakeTimer,
     loop_failures: LoopFailures,
+    panics: TurnPanics,
     service: Service,
     drain_times: DrainTimes,
     /// Where the configuration comes from.
@@ -90,92 +92,6 @@
 }
 
 impl Lifecycle {
-    /// Runs until the gateway ends after SIGTERM or SIGINT.
-    ///
-    /// # Errors
-    /// The address for clients cannot be bound.
-    pub fn run(mut self) -> Result<(), StartError> {
-        let mut ready = LoopEvents::default();
-        let mut busy_s = 0.0;
-        while self.phase != Phase::Exited {
-            let due = self.next_due();
-            self.wait(due, &mut ready);
-            let now = self.clock.now();
-            self.turn(now, due, &mut ready)?;
-            busy_s += (self.clock.now() - now).secs();
-            self.service.counters.busy_ms = (busy_s * 1e3) as u64;
-        }
-        self.print_counters();
-        Ok(())
-    }
-
-    fn next_due(&self) -> Timestamp {
-        let now = self.clock.now();
-        let due = [
-            self.acceptor.next_due(now),
-            self.phase.due(now),
-            self.pending_reload.map(PendingReload::due),
-        ];
-        due.into_iter()
-            .flatten()
-            .fold(self.service.next_due(now), Timestamp::min)
-    }
-
-    /// Handles all that one sleep of the event loop brought.
-    fn turn(
-        &mut self,
-        now: Timestamp,
-        due: Timestamp,
-        ready: &mut LoopEvents,
-    ) -> Result<(), StartError> {
-        if std::mem::take(&mut ready.timer_fired) {
-            self.timer.on_fired();
-        }
-        self.service.counters.turns += 1;
-        if now - due > LATE_TURN {
-            self.service.counters.late_turns += 1;
-        }
-        if std::mem::take(&mut ready.has_signals) {
-            for signal in self.signals.take() {
-                self.on_signal(now, signal);
-            }
-        }
-        self.retry_reload(now);
-        for known in std::mem::take(&mut ready.key_changes) {
-            self.reload_key_files(known);
-        }
-        for peer in std::mem::take(&mut ready.sources) {
-            self.on_ready(now, peer);
-        }
-        self.accept(now);
-        self.service.turn(now);
-        self.advance_phase(now)
-    }
-
-    fn on_ready(&mut self, now: Timestamp, peer: EventSource) {
-        let service = &mut self.service;
-        let counters = &mut service.counters;
-        match peer {
-            EventSource::Listener => self.acceptor.on_ready(),
-            EventSource::Client(id) => service.sessions.on_ready(now, SessionId(id), counters),
-            EventSource::Engine(connection) => {
-                service.engines.on_socket_event(now, connection, counters);
-            }
-            EventSource::Discovery(poll) => service.discovery.on_ready(now, poll, counters),
-            EventSource::PeerGateways => {
-                if let Some(cluster) = service.cluster() {
-                    cluster.set_readable();
-                }
-            }
-        }
-    }
-
-    fn accept(&mut self, now: Timestamp) {
-        let service = &mut self.service;
-        self.acceptor
-            .accept(now, &mut service.sessions, &mut service.counters);
-    }
-
     fn on_signal(&mut self, now: Timestamp, signal: Signal) {
         match signal {
             Signal::SIGUSR1 => self.print_counters(),
--- a/crates/gateway/src/lifecycle/start.rs
+++ b/crates/gateway/src/lifecycle/start.rs
@@ -14,6 +14,7 @@
 use super::signals::SignalReceiver;
 use super::start_retry::StartRetry;
 use super::timer::WakeTimer;
+use super::turn::TurnPanics;
 use super::wait::LoopFailures;
 use super::{Lifecycle, StartError};
 use crate::clients::{ProgressReports, SessionLimits, Sessions};
@@ -82,6 +83,7 @@
             clock,
             timer: WakeTimer::default(),
             loop_failures: LoopFailures::default(),
+            panics: TurnPanics::default(),
             service,
             drain_times: DrainTimes::for_longest_deadline(longest_time_limit),
             source,
@@ -153,8 +155,12 @@
             ready.key_changes.push(known);
         }
     };
+    let watch = || keywatch::watch(callers.clone());
+    let changes = retry
+        .run("watch of key files", |_| true, watch)
+        .map_err(StartError::KeyWatch)?;
     handle
-        .insert_source(keywatch::watch(callers.clone()), on_change)
+        .insert_source(changes, on_change)
         .map_err(|error| error.error)?;
     Ok(())
 }
--- a/crates/gateway/src/lifecycle/start_retry.rs
+++ b/crates/gateway/src/lifecycle/start_retry.rs
@@ -6,12 +6,13 @@
 use std::panic::catch_unwind;
 use std::rc::Rc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use admission::interface::TimeDelta;
 use thiserror::Error;
 
 use super::signals::SignalReceiver;
+use crate::clock::monotonic_now;
 use crate::log_output;
 
 /// How long a start tries. A gateway that is not ready 30 s after its start is given up by its platform.
@@ -34,7 +35,8 @@
 /// The patience of one start.
 #[derive(Clone)]
 pub struct StartRetry {
-    give_up_at: Instant,
+    /// On the monotonic clock.
+    give_up_at: Duration,
     /// One that ends the gateway ends its patience; none before signals can be read.
     signals: Option<Rc<SignalReceiver>>,
 }
@@ -44,7 +46,7 @@
     #[must_use]
     pub fn begin() -> Self {
         StartRetry {
-            give_up_at: Instant::now() + PATIENCE,
+            give_up_at: monotonic_now() + PATIENCE,
             signals: None,
         }
     }
@@ -63,7 +65,7 @@
             .signals
             .as_ref()
             .is_some_and(|signals| signals.is_termination_pending());
-        is_terminated || Instant::now() >= self.give_up_at
+        is_terminated || monotonic_now() >= self.give_up_at
     }
 
     /// Tries until it succeeds, fails for good or the patience is over. The first failure goes to the log.
--- /dev/null
+++ b/crates/gateway/src/lifecycle/turn.rs
@@ -0,0 +1,174 @@
+//! The turns of the event loop: each handles all that one sleep brought, piece by piece.
+//!
+//! A piece that panics costs what it was about: a connection, one client that waits, one look at what is due. The next turn goes
+//! on with all others. Only a gateway whose every turn panics ends, since its platform starts it anew.
+
+use std::thread;
+use std::time::Duration;
+
+use admission::interface::{TimeDelta, Timestamp};
+use tracing::warn;
+
+use super::phase::Phase;
+use super::{Lifecycle, StartError};
+use crate::clients::SessionId;
+use crate::panic_containment::{self, Panicked};
+use crate::socket::{EventSource, LoopEvents};
+
+/// A turn that begins so much after it was due is late.
+const LATE_TURN: TimeDelta = TimeDelta::from_micros(5_000);
+
+/// A gateway in which each turn has panicked for so long ends.
+const PANIC_PATIENCE: TimeDelta = TimeDelta::from_micros(10_000_000);
+
+/// After a turn that panicked, so that a panic in each of them leaves the processor to others.
+const PANIC_PAUSE: Duration = Duration::from_millis(1);
+
+/// The panics of the last turns.
+#[derive(Default)]
+pub(super) struct TurnPanics {
+    /// The last one of this turn.
+    last: Option<Panicked>,
+    /// Since when each turn has panicked.
+    since: Option<Timestamp>,
+}
+
+impl TurnPanics {
+    /// Whether this turn panicked. Panics on where each one has done so for too long.
+    fn end_turn(&mut self, now: Timestamp) -> bool {
+        let Some(last) = self.last.take() else {
+            self.since = None;
+            return false;
+        };
+        let since = *self.since.get_or_insert(now);
+        if now - since > PANIC_PATIENCE {
+            last.resume();
+        }
+        true
+    }
+}
+
+impl Lifecycle {
+    /// Runs until the gateway ends after SIGTERM or SIGINT.
+    ///
+    /// # Errors
+    /// The address for clients cannot be bound.
+    pub fn run(mut self) -> Result<(), StartError> {
+        let mut ready = LoopEvents::default();
+        let mut busy_s = 0.0;
+        while self.phase != Phase::Exited {
+            let due = self.contain(Lifecycle::next_due);
+            let due = due.unwrap_or_else(|| self.clock.now());
+            self.wait(due, &mut ready);
+            let now = self.clock.now();
+            self.turn(now, due, &mut ready)?;
+            if self.panics.end_turn(now) {
+                thread::sleep(PANIC_PAUSE);
+            }
+            busy_s += (self.clock.now() - now).secs();
+            self.service.counters.busy_ms = (busy_s * 1e3) as u64;
+        }
+        self.print_counters();
+        Ok(())
+    }
+
+    /// Does a piece of this turn's work; none: it panicked.
+    pub(super) fn contain<T>(&mut self, work: impl FnOnce(&mut Self) -> T) -> Option<T> {
+        match panic_containment::contain(|| work(self)) {
+            Ok(result) => Some(result),
+            Err(panicked) => {
+                self.service.counters.panics += 1;
+                self.panics.last = Some(panicked);
+                None
+            }
+        }
+    }
+
+    fn next_due(&mut self) -> Timestamp {
+        let now = self.clock.now();
+        let due = [
+            self.acceptor.next_due(now),
+            self.phase.due(now),
+            self.pending_reload.map(|pending| pending.due()),
+        ];
+        due.into_iter()
+            .flatten()
+            .fold(self.service.next_due(now), Timestamp::min)
+    }
+
+    /// Handles all that one sleep of the event loop brought.
+    fn turn(
+        &mut self,
+        now: Timestamp,
+        due: Timestamp,
+        ready: &mut LoopEvents,
+    ) -> Result<(), StartError> {
+        if std::mem::take(&mut ready.timer_fired) {
+            self.timer.on_fired();
+        }
+        self.service.counters.turns += 1;
+        if now - due > LATE_TURN {
+            self.service.counters.late_turns += 1;
+        }
+        if std::mem::take(&mut ready.has_signals) {
+            for signal in self.signals.take() {
+                self.contain(|gateway| gateway.on_signal(now, signal));
+            }
+        }
+        self.contain(|gateway| gateway.retry_reload(now));
+        for known in std::mem::take(&mut ready.key_changes) {
+            self.contain(|gateway| gateway.reload_key_files(known));
+        }
+        for source in std::mem::take(&mut ready.sources) {
+            let handled = self.contain(|gateway| gateway.on_ready(now, source));
+            if handled.is_none() {
+                self.contain(|gateway| gateway.abandon(now, source));
+            }
+        }
+        self.contain(|gateway| gateway.accept(now));
+        self.contain(|gateway| gateway.service.turn(now));
+        let advanced = self.contain(|gateway| gateway.advance_phase(now));
+        advanced.unwrap_or(Ok(()))
+    }
+
+    fn on_ready(&mut self, now: Timestamp, source: EventSource) {
+        let service = &mut self.service;
+        let counters = &mut service.counters;
+        match source {
+            EventSource::Listener => self.acceptor.on_ready(),
+            EventSource::Client(id) => service.sessions.on_ready(now, SessionId(id), counters),
+            EventSource::Engine(connection) => {
+                service.engines.on_socket_event(now, connection, counters);
+            }
+            EventSource::Discovery(poll) => service.discovery.on_ready(now, poll, counters),
+            EventSource::PeerGateways => {
+                if let Some(cluster) = service.cluster() {
+                    cluster.set_readable();
+                }
+            }
+        }
+    }
+
+    /// Gives up what panicked as it was ready: its state may be half changed.
+    fn abandon(&mut self, now: Timestamp, source: EventSource) {
+        warn!(?source, "given up after a panic");
+        let service = &mut self.service;
+        let counters = &mut service.counters;
+        match source {
+            EventSource::Listener | EventSource::PeerGateways => {}
+            EventSource::Client(id) => service.sessions.abandon(SessionId(id), counters),
+            EventSource::Engine(connection) => {
+                service
+                    .engines
+                    .abandon_connection(now, connection, counters);
+            }
+            EventSource::Discovery(poll) => service.discovery.abandon_poll(now, poll, counters),
+        }
+    }
+
+    pub(super) fn accept(&mut self, now: Timestamp) {
+        let service = &mut self.service;
+        self.acceptor
+            .accept(now, &mut service.sessions, &mut service.counters);
+    }
+}
--- a/crates/gateway/src/log_output.rs
+++ b/crates/gateway/src/log_output.rs
@@ -6,7 +6,7 @@
 
 use std::io::{self, Write};
 use std::os::fd::BorrowedFd;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError, TryLockError};
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::fs::FileType;
@@ -40,6 +40,18 @@
     write_record(format!("{line}\n").as_bytes());
 }
 
+/// The same, for whoever may have interrupted the writing of another line on the same thread: then the line is lost.
+pub fn write_line_unless_writing(line: &str) {
+    match STATE.try_lock() {
+        Ok(mut state) => state.write_record(format!("{line}\n").as_bytes()),
+        Err(TryLockError::Poisoned(state)) => {
+            let mut state = state.into_inner();
+            state.write_record(format!("{line}\n").as_bytes());
+        }
+        Err(TryLockError::WouldBlock) => {}
+    }
+}
+
 /// Lines that the machine did not take since the start.
 #[must_use]
 pub fn lost_lines() -> u64 {
@@ -63,14 +75,18 @@
 
 fn write_record(record: &[u8]) {
     let mut state = STATE.lock().unwrap_or_else(PoisonError::into_inner);
-    let is_written = state.tell_lost_lines().is_ok() && state.write(record).is_ok();
-    if !is_written {
-        state.lost += 1;
-        state.untold += 1;
-    }
+    state.write_record(record);
 }
 
 impl LogState {
+    fn write_record(&mut self, record: &[u8]) {
+        let is_written = self.tell_lost_lines().is_ok() && self.write(record).is_ok();
+        if !is_written {
+            self.lost += 1;
+            self.untold += 1;
+        }
+    }
+
     /// Says how many lines are missing at this place, if any are.
     fn tell_lost_lines(&mut self) -> rustix::io::Result<()> {
         if self.untold == 0 {
