A configuration that is half written is read once it is whole

Seen: a configuration cut at its middle was given up at a reload (the new test waited for 'reload: tried again' in vain), and with it where discovery has moved to. Line at fault: ConfigError::passes_by_itself counted every JSON error as final. Change: an end too early passes by itself; a start and a reload try it as a file that cannot be read. Also tests: datagrams whose sender's address has another length (passes; the standard library's recv_from was not run against it), support for an operator's file and for several lines of a log.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -58,6 +58,8 @@
             | ConfigError::Operator(OperatorConfigError::Unreadable(_, error)) => {
                 is_file_unreadable_for_now(error)
             }
+            // Whoever writes it has not come to its end.
+            ConfigError::Json(error) => error.is_eof(),
             _ => false,
         }
     }
--- a/crates/gateway/tests/machine_answers.rs
+++ b/crates/gateway/tests/machine_answers.rs
@@ -17,6 +17,8 @@
 
 mod support;
 
+use std::net::UdpSocket;
+use std::process::Command;
 use std::thread::sleep;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -113,6 +115,41 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+/// A datagram is received with the place for its sender's address, as no read of a connection is.
+fn receives_datagram(call: &SystemCall) -> bool {
+    call.number == libc::SYS_recvfrom && call.arguments[4] != 0
+}
+
+#[test]
+fn a_datagram_from_an_address_of_any_length_ends_nothing() {
+    let keys = std::env::temp_dir().join(format!("laurelhitch-keys-{}", std::process::id()));
+    let added = Command::new(env!("CARGO_BIN_EXE_laurelhitch"))
+        .args(["fleet-keys", "add"])
+        .arg(&keys)
+        .arg("k-1")
+        .status()
+        .unwrap();
+    assert!(added.success());
+    for bytes in [0, 1, 2, 15, 17, 129] {
+        let bind = free_address();
+        let operator = format!(
+            "fleet {{\n  fleet = \"f\"\n  bind = \"{bind}\"\n  seeds = []\n  keys_folder = {keys:?}\n}}\n"
+        );
+        let length = move |_| Effect::AnswerLength { argument: 5, bytes };
+        let surroundings = Surroundings::new();
+        let plan = by_occurrence(receives_datagram, length);
+        let gateway = surroundings.start_operated(plan, &operator);
+        drop(gateway.connect_when_it_listens(&[]).unwrap());
+        let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+        for _ in 0..3 {
+            peer.send_to(b"not of this fleet", bind).unwrap();
+        }
+        let outcome = gateway.lead_life();
+        assert!(outcome.is_ok(), "{bytes} bytes: {outcome:?}");
+    }
+    std::fs::remove_dir_all(keys).unwrap();
+}
+
 /// Whether the call reads this clock.
 fn reads_clock(call: &SystemCall, clock: c_int) -> bool {
     call.number == libc::SYS_clock_gettime && call.arguments[0] == clock as u64
--- a/crates/gateway/tests/support/faults.rs
+++ b/crates/gateway/tests/support/faults.rs
@@ -1,7 +1,7 @@
 //! A gateway whose system calls fail as a plan says, and the life that it has to lead all the same.
 
 use std::cell::Cell;
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
@@ -16,6 +16,7 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use serde_json::Value;
 use stand_ins::board::{Board, Mood};
 use stand_ins::client::{Answer, Client, login_packet, packet, query_packet};
@@ -27,6 +28,11 @@
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// Budget of each statement: its client is owed an answer by then.
 const BUDGET: Duration = Duration::from_secs(5);
+/// A line of the log that is waited for comes by then.
+const SAYS_WITHIN: Timespec = Timespec {
+    tv_sec: 10,
+    tv_nsec: 0,
+};
 /// After SIGTERM it ends by then, with no statement open.
 const ENDS_WITHIN: Duration = Duration::from_secs(6);
 
@@ -266,7 +272,7 @@
 /// One gateway under a plan.
 pub(crate) struct FaultyGateway {
     process: TracedProcess,
-    config: PathBuf,
+    pub config: PathBuf,
     pub listen: SocketAddr,
     started: Instant,
     /// When the machine took the last connection.
@@ -308,7 +314,17 @@
         plan: impl FaultPlan,
         change: impl FnOnce(&mut Value),
     ) -> FaultyGateway {
-        let Configured { path, listen } = configure(&self.board, "", change);
+        self.start_configured(plan, configure(&self.board, "", change))
+    }
+
+    /// Starts a gateway with an operator's file.
+    pub(crate) fn start_operated(&self, plan: impl FaultPlan, operator: &str) -> FaultyGateway {
+        let configured = configure(&self.board, operator, |_| {});
+        self.start_configured(plan, configured)
+    }
+
+    fn start_configured(&self, plan: impl FaultPlan, configured: Configured) -> FaultyGateway {
+        let Configured { path, listen } = configured;
         let process = TracedProcess::spawn(command(&path), plan).unwrap();
         FaultyGateway {
             process,
@@ -342,11 +358,15 @@
         .env("RELAY_CONFIG", config)
         .env_remove("LAURELHITCH_OPERATOR")
         .stderr(Stdio::piped());
+    let operator = config.with_extension("hcl");
+    if operator.exists() {
+        command.arg("--operator").arg(operator);
+    }
     command
 }
 
 impl FaultyGateway {
-    fn lead_life(&self) -> Result<(), String> {
+    pub(crate) fn lead_life(&self) -> Result<(), String> {
         let mut first = self.connect_when_it_listens(&packet(0, &COM_PING))?;
         expect_ok(&mut first, "ping")?;
         ask(&mut first, "first statement")?;
@@ -390,14 +410,26 @@
         self.connected.get().elapsed()
     }
 
-    /// Waits until its log has a line with these words.
+    /// Waits until its log has a further line with these words.
     pub(crate) fn says(&mut self, words: &str) {
-        let log = BufReader::new(self.process.stderr.take().unwrap());
-        let mut lines = log.lines().map_while(Result::ok);
-        assert!(
-            lines.any(|line| line.contains(words)),
-            "never said {words:?}"
-        );
+        let stderr = self.process.stderr.as_mut().unwrap();
+        let mut line = Vec::new();
+        let mut byte = [0];
+        // One byte at a time: what follows the line is for the next call.
+        while !(byte == [b'\n'] && String::from_utf8_lossy(&line).contains(words)) {
+            if byte == [b'\n'] {
+                line.clear();
+            }
+            let mut watched = [PollFd::new(&*stderr, PollFlags::IN)];
+            let ready = poll(&mut watched, Some(&SAYS_WITHIN)).unwrap();
+            let read = if ready > 0 {
+                stderr.read(&mut byte).unwrap()
+            } else {
+                0
+            };
+            assert!(read > 0, "never said {words:?}");
+            line.extend(byte);
+        }
     }
 
     pub(crate) fn signal(&self, signal: Signal) {
@@ -417,6 +449,7 @@
     fn drop(&mut self) {
         self.process.signal(Signal::SIGKILL);
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(self.config.with_extension("hcl"));
     }
 }
 
--- a/crates/gateway/tests/system_calls.rs
+++ b/crates/gateway/tests/system_calls.rs
@@ -174,6 +174,21 @@
     assert_eq!(reloads, (1, 0), "{}", life.log);
 }
 
+#[test]
+fn a_configuration_that_is_half_written_is_read_once_it_is_whole() {
+    let surroundings = Surroundings::new();
+    let mut gateway = surroundings.start(|_: &SystemCall| Effect::Proceed);
+    drop(gateway.connect_when_it_listens(&[]).unwrap());
+    let whole = std::fs::read(&gateway.config).unwrap();
+    for length in [0, whole.len() / 2] {
+        std::fs::write(&gateway.config, &whole[..length]).unwrap();
+        gateway.signal(process_harness::system_calls::Signal::SIGHUP);
+        gateway.says("reload: tried again");
+        std::fs::write(&gateway.config, &whole).unwrap();
+        gateway.says("configuration read again");
+    }
+}
+
 /// A read of the descriptor of signals: its records are of this size, and nothing else is read in such pieces.
 fn reads_signal(call: &SystemCall) -> bool {
     const RECORD_BYTES: u64 = 128;
