--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -158,6 +158,7 @@
     def __init__(self):
         self.events, self.changed = [], threading.Condition()
         self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(("127.0.0.1", 0))
         self.listener.listen(256)
         self.port = self.listener.getsockname()[1]
