--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,17 +26,18 @@
     record, dice, spoilt = Record(HERE), random.Random(SEED), []
 
     def on_do(engine, connection, request):
-        """Runs the request, and turns the one byte of the number of pages into noise in some answers."""
+        """Runs the request, and puts one byte of noise into the line of some answers, anywhere behind the id."""
         pages = three_columns(request["text"], ROWS)
         if not TROUBLE or dice.random() >= SPOILT_PART:
             return False
         time.sleep(engine.work_s)
         connection.results[request["rid"]] = pages
-        body, noise = pages[0].encode(), bytes([dice.choice(NOISE)])
-        head = b"%s DONE total=%s,elapsed=12.5,rss=8 %d\r\n" % (request["rid"].encode(), noise, len(body))
+        body, rid = pages[0].encode(), request["rid"].encode()
+        rest = bytearray(b"DONE total=%d,elapsed=12.5,rss=8 %d" % (len(pages), len(body)))
+        rest[dice.randrange(len(rest))] = dice.choice(NOISE)
         spoilt.append(request["rid"])
-        record.line("engine %s answers with noise: %r" % (engine.uid, head))
-        connection.send(head + body + b"\r\n")
+        record.line("engine %s answers %s with noise: %r" % (engine.uid, request["rid"], bytes(rest)))
+        connection.send(rid + b" " + bytes(rest) + b"\r\n" + body + b"\r\n")
         return True
 
     gateway = None
