A session is served a bounded part of a turn, whatever answers its requests

No connection is accepted, no signal, list event or time-out is handled.

Cause: MAX_PACKETS_PER_TURN held for one call of Sessions::process (clients/input.rs). Service::read_sessions handles events until there are no more; a request that is answered within it goes through Sessions::respond to Sessions::process again, which reads the socket and reports the event of the next packet. So a turn lasts as long as such a client has its next packet there.

The new counter longest_turn_ms shows it at once.

Change: TurnBudget counts the packets of a session in the turn, in however many calls; the rest follows in the next turn, which has no wait before it. A session with a packet in its buffer counts as owed an answer and is not evicted, else one that waits for its next turn would be a candidate again and again.

--- a/crates/gateway/src/clients/input.rs
+++ b/crates/gateway/src/clients/input.rs
@@ -14,9 +14,6 @@
 /// client that sends a lot from delaying the others.
 const MAX_READ_BUFFER_BYTES: usize = packet::HEADER_BYTES + packet::MAX_BODY_BYTES;
 
-/// How many packets of one session are processed in a turn.
-const MAX_PACKETS_PER_TURN: usize = 16;
-
 /// The size that ordinary statements stay below. While unread bytes exceed their limit, incomplete
 /// packets above this size are rejected.
 const MAX_TYPICAL_PACKET_BYTES: usize = 8 << 10;
@@ -67,8 +64,9 @@
         }
     }
 
-    /// Reads from the socket, processes complete packets until a response is pending or the limit
-    /// per turn is reached, and then writes. Removes the session if the connection fails.
+    /// Reads from the socket, processes complete packets until a response is pending or the session
+    /// has reached its limit for the turn, and then writes. Removes the session if the connection
+    /// fails.
     pub(super) fn process(&mut self, now: Timestamp, id: SessionId, counters: &mut Counters) {
         let received = self.read(id).and_then(|()| self.detect_client_end(now, id));
         if let Err(error) = received {
@@ -108,11 +106,11 @@
     }
 
     fn process_packets(&mut self, now: Timestamp, id: SessionId, counters: &mut Counters) {
-        for _ in 0..MAX_PACKETS_PER_TURN {
+        loop {
             let Some(session) = self.sessions.get_mut(&id) else {
                 return;
             };
-            if session.is_blocked() {
+            if session.is_blocked() || session.packet_budget.is_used_up(self.turn) {
                 return;
             }
             let bytes_before = session.socket.read_buffer.len();
@@ -121,7 +119,10 @@
             self.unread_bytes -= bytes_before - bytes_left;
             let is_over_unread_limit = self.unread_bytes > self.limits.max_unread_bytes;
             match packet {
-                Ok(Some(packet)) => self.process_packet(now, id, &packet, counters),
+                Ok(Some(packet)) => {
+                    session.packet_budget.record(self.turn);
+                    self.process_packet(now, id, &packet, counters);
+                }
                 Ok(None) if is_over_unread_limit && bytes_left > MAX_TYPICAL_PACKET_BYTES => {
                     session.reject_packet(now, "too many large packets at once");
                 }
--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -39,6 +39,7 @@
 
 use crate::counters::Counters;
 use crate::socket::{EventLoopHandle, EventSource, Socket};
+use crate::turn_budget::TurnNumber;
 
 /// The value that the protocol reserves for an unset connection id. No session gets it.
 const UNSET_CONNECTION_ID: u32 = 0;
@@ -90,6 +91,8 @@
     /// Sessions that had more input than they may process in one turn. The next turn continues
     /// with them.
     unfinished: BTreeSet<SessionId>,
+    /// The current turn, in which each session may process a limited number of packets.
+    turn: TurnNumber,
     /// The total size of all read buffers, in bytes.
     unread_bytes: usize,
     /// Events that have not been taken yet, oldest first.
@@ -117,12 +120,19 @@
             progress_subscribers: BTreeSet::new(),
             disconnected: BTreeSet::new(),
             unfinished: BTreeSet::new(),
+            turn: TurnNumber::default(),
             unread_bytes: 0,
             events: Vec::new(),
             next_sweep: now,
         }
     }
 
+    /// Begins a turn of the event loop. Every session may process packets again, up to its limit
+    /// for one turn.
+    pub fn begin_turn(&mut self) {
+        self.turn = self.turn.next();
+    }
+
     /// Opens a session on a client's connection: sends the greeting and processes what the client
     /// has already sent. Another session may be evicted to make room.
     ///
@@ -243,8 +253,8 @@
         }
     }
 
-    /// Sends a session the response that it is waiting for, then processes its buffered packets.
-    /// Does nothing if the session is closed or has no pending response.
+    /// Sends a session the response that it is waiting for, then processes its buffered packets up
+    /// to its limit for the turn. Does nothing if the session is closed or has no pending response.
     pub fn respond(
         &mut self,
         now: Timestamp,
--- a/crates/gateway/src/clients/session.rs
+++ b/crates/gateway/src/clients/session.rs
@@ -11,11 +11,15 @@
 use super::events::ClientEnd;
 use super::protocol::{ErrorCode, Response, packet};
 use crate::socket::Socket;
+use crate::turn_budget::TurnBudget;
 
 /// How many bytes of responses may wait to be written before commands of the session stop being
 /// processed. It bounds the memory that a client can use by pipelining commands.
 const MAX_UNWRITTEN_BYTES: usize = 4 << 10;
 
+/// How many packets of one session are processed in a turn.
+const MAX_PACKETS_PER_TURN: u32 = 16;
+
 /// The phase of a session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SessionState {
@@ -88,6 +92,8 @@
     /// The response continues from it.
     pub(super) sequence: u8,
     pub(super) pending: PendingResponse,
+    /// The packets that were processed in the current turn.
+    pub(super) packet_budget: TurnBudget<MAX_PACKETS_PER_TURN>,
     pub(super) opened: Timestamp,
     /// The number of commands that the client has sent.
     pub(super) commands: u64,
@@ -118,6 +124,7 @@
             state: SessionState::AwaitingLogin,
             sequence: 0,
             pending: PendingResponse::None,
+            packet_budget: TurnBudget::default(),
             opened: now,
             commands: 0,
             last_activity: now,
@@ -168,7 +175,7 @@
     pub(super) fn eviction_class(&self) -> Option<EvictionClass> {
         match self.state {
             SessionState::Closing => Some(EvictionClass::Closing),
-            SessionState::Ready if !self.is_answered() => None,
+            SessionState::Ready if !self.is_answered() || self.has_packet() => None,
             SessionState::Ready if self.commands > 0 => Some(EvictionClass::Idle),
             SessionState::AwaitingLogin
             | SessionState::AwaitingTlsLogin
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -1,5 +1,5 @@
 //! The counters of one gateway, printed as `name=value` on SIGUSR1 and at exit. All of them only
-//! grow, except that `queue_longest_passed_over_ms` is a maximum.
+//! grow, except that `queue_longest_passed_over_ms` and `longest_turn_ms` are maxima.
 
 use std::fmt;
 
@@ -95,6 +95,8 @@
     event_loop_failures: "Failed waits of the event loop. All sockets are polled after each one.",
     panics: "Contained panics. The cause is a fault of the gateway, or a kernel result that a \
         library does not expect.",
+    longest_turn_ms: "Longest time in ms that one turn worked, without its wait. No other work \
+        begins meanwhile.",
 }
 
 impl Counters {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod socket;
 pub mod socket_queries;
 pub mod status;
+mod turn_budget;
--- a/crates/gateway/src/lifecycle/turn.rs
+++ b/crates/gateway/src/lifecycle/turn.rs
@@ -69,8 +69,11 @@
             if self.panics.end_turn(now) {
                 thread::sleep(PANIC_PAUSE);
             }
-            busy_s += (self.clock.now() - now).secs();
-            self.service.counters.busy_ms = (busy_s * 1e3) as u64;
+            let turn_s = (self.clock.now() - now).secs();
+            busy_s += turn_s;
+            let counters = &mut self.service.counters;
+            counters.busy_ms = (busy_s * 1e3) as u64;
+            counters.longest_turn_ms = counters.longest_turn_ms.max((turn_s * 1e3) as u64);
         }
         self.print_counters();
         Ok(())
@@ -110,6 +113,7 @@
         if std::mem::take(&mut ready.timer_fired) {
             self.timer.on_fired();
         }
+        self.service.begin_turn();
         self.service.counters.turns += 1;
         if now - due > LATE_TURN_THRESHOLD {
             self.service.counters.late_turns += 1;
--- a/crates/gateway/src/service/mod.rs
+++ b/crates/gateway/src/service/mod.rs
@@ -191,6 +191,11 @@
             .fold(self.schedule.wakeup, Timestamp::min)
     }
 
+    /// Begins a turn of the event loop, before the events of its sockets are handled.
+    pub fn begin_turn(&mut self) {
+        self.sessions.begin_turn();
+    }
+
     /// Runs one turn of the event loop: handles timers and all pending input, then offers the
     /// waiting statements to the engines once.
     pub fn turn(&mut self, now: Timestamp) {
@@ -230,7 +235,9 @@
         self.on_discovery_events(now, &events);
     }
 
-    /// Handles the events of sessions until no more are pending.
+    /// Handles the events of sessions until no more are pending. An event that is answered at once
+    /// may bring the next one of its session, but each session processes a limited number of
+    /// packets in a turn, so this ends however fast clients send.
     fn read_sessions(&mut self, now: Timestamp) {
         loop {
             let events = self.sessions.take_events();
--- a/crates/gateway/tests/identity.rs
+++ b/crates/gateway/tests/identity.rs
@@ -20,8 +20,12 @@
 use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
 use stand_ins::client::{Client, login_packet, packet, query_packet};
 use stand_ins::engine::Engine;
+use support::script::wait_delivered;
 use support::*;
 
+/// How many packets of one session a turn may process: `MAX_PACKETS_PER_TURN` of the gateway.
+const PACKETS_PER_TURN: i64 = 16;
+
 /// A folder with signing keys, a certificate and its private key, managed through the command line.
 /// The folder is removed when the value is dropped.
 struct TestSite {
@@ -196,6 +200,30 @@
     }
 }
 
+/// Guards against tokens that are answered at once and let their session go on within the same
+/// turn, so that the turn does not end.
+#[test]
+fn renewals_with_invalid_tokens_take_a_bounded_part_of_a_turn() {
+    let (site, engine) = (TestSite::new(), engine(1));
+    let mut gateway = site.gateway(&engine, "");
+    let mut session = site.login(gateway.listen, &site.token("k1", &[])).unwrap();
+    let turns_before = counter(&gateway.settle(), "turns");
+    gateway.suspend();
+    let renewal = query_packet("SET @laurelhitch_token = 'invalid'");
+    let renewals = 320;
+    session.stream.write_all(&renewal.repeat(renewals)).unwrap();
+    wait_delivered(&[session.stream.sock.local_addr().unwrap()]);
+    gateway.resume();
+    for _ in 0..renewals {
+        session.answer().unwrap_err();
+    }
+    let turns = counter(&gateway.print_counters(), "turns") - turns_before;
+    assert!(
+        turns >= renewals as i64 / PACKETS_PER_TURN,
+        "{renewals} renewals in {turns} turns"
+    );
+}
+
 /// Returns the error code of a login, or 0 when it succeeded.
 fn code(answer: Result<TlsClient, (u16, String)>) -> u16 {
     answer.map(|_| 0).unwrap_or_else(|error| error.0)
