An answer whose number of pages cannot be read is not served as a whole result

Cause: PagedResult::new (engines/paged_result.rs) read the field with unwrap_or(1).max(1): a default in the place of an error. The parser also takes a plus sign, so a spoilt first digit gave another number. Checked: the record of the case (each cut result has the rows of page 0 and asked for no other page) and a table of 13 spoilt forms. Ruled out: lost or late pages, and noise elsewhere in the line, which the line's form refuses.

Change: a number that is missing, none, 0 or over 64 makes the answer unusable (ResultError::InvalidPageCount), as other noise does: the connection ends and the statement is sent again where its effect allows it. No number of the protocol begins with a plus sign. Spoilt usage does not cost the result.

The gateway's tests codecs, endings, golden, process passed.

--- a/crates/gateway/src/engines/paged_result.rs
+++ b/crates/gateway/src/engines/paged_result.rs
@@ -20,8 +20,8 @@
 /// Why an engine's result is invalid.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub(super) enum ResultError {
-    #[error("the result has more than {MAX_PAGES} pages")]
-    TooManyPages,
+    #[error("the number of pages is missing or not a number from 1 to {MAX_PAGES}")]
+    InvalidPageCount,
     #[error("the result is larger than {MAX_RESULT_BYTES} bytes")]
     TooLarge,
     #[error("the result does not consist of rows of text")]
@@ -56,16 +56,17 @@
     ///
     /// # Errors
     ///
-    /// The response announces more than [`MAX_PAGES`] pages.
+    /// The response does not say how many pages there are, or announces more than [`MAX_PAGES`].
+    /// The first page alone may be a part of the result.
     pub(super) fn new(
         now: Timestamp,
         latency: TimeDelta,
         first: Response,
     ) -> Result<PagedResult, ResultError> {
-        let page_count = first.number::<usize>("total").unwrap_or(1).max(1);
-        if page_count > MAX_PAGES {
-            return Err(ResultError::TooManyPages);
-        }
+        let page_count = first
+            .number::<usize>("total")
+            .filter(|count| (1..=MAX_PAGES).contains(count))
+            .ok_or(ResultError::InvalidPageCount)?;
         let cpu_ms = first.quantity("elapsed");
         let mut result = PagedResult {
             latency,
--- a/crates/gateway/src/engines/protocol.rs
+++ b/crates/gateway/src/engines/protocol.rs
@@ -202,7 +202,12 @@
     }
 }
 
+/// Parses a number of the protocol, which never starts with a plus sign. The parsers of the
+/// standard library accept one, so that a spoilt first digit would give another number.
 fn parse_number<T: FromStr>(text: &[u8]) -> Option<T> {
+    if text.starts_with(b"+") {
+        return None;
+    }
     std::str::from_utf8(text).ok()?.parse().ok()
 }
 
--- /dev/null
+++ b/crates/gateway/tests/spoilt_input.rs
@@ -0,0 +1,114 @@
+//! Words and numbers that an engine spoils: none of them is replaced by a default that changes what
+//! a client gets or what becomes of its statement.
+
+mod support;
+
+use stand_ins::client::Client;
+use support::clients::*;
+use support::script::*;
+use support::*;
+
+/// A statement that an engine has received, and everything that is needed to answer it.
+struct OpenStatement {
+    gateway: Gateway,
+    engine: ScriptedEngine,
+    client: Client,
+    connection: EngineConnection,
+    received: ReceivedStatement,
+}
+
+impl OpenStatement {
+    fn start() -> OpenStatement {
+        let engine = ScriptedEngine::new();
+        let gateway = Gateway::with_config(&[engine.address], allow_long_waits);
+        let mut client = gateway.client();
+        send(&mut client, &tagged_statement(8, "SELECT 'spoilt'"));
+        let mut connection = engine.accept();
+        let received = connection.receive_statement();
+        OpenStatement {
+            gateway,
+            engine,
+            client,
+            connection,
+            received,
+        }
+    }
+
+    /// Returns an answer of this kind with these fields.
+    fn response(&self, kind: &str, fields: &str, page: &str) -> String {
+        let id = &self.received.id;
+        format!("{id} {kind} {fields} {}\r\n{page}\r\n", page.len())
+    }
+
+    /// Sends an answer of this kind with these fields.
+    fn answer(&mut self, kind: &str, fields: &str, page: &str) {
+        let response = self.response(kind, fields, page);
+        self.connection.send(&response);
+    }
+
+    /// Asserts that the gateway gives up the connection, sends the statement again on another one
+    /// and passes on the whole result from there.
+    fn assert_served_by_another_attempt(mut self, case: &str) {
+        while let Some(line) = self.connection.read_line() {
+            assert!(line.starts_with("page "), "{case}: {line}");
+        }
+        let mut again = self.engine.accept();
+        let received = again.receive_statement();
+        assert_eq!(received.id, self.received.id, "{case}");
+        let id = &received.id;
+        again.send(&format!("{id} DONE total=2 8\r\n0\tone\tx\n\r\n"));
+        assert_eq!(again.read_line().unwrap(), format!("page {id} 1"), "{case}");
+        again.send(&format!("{id} MORE index=1 8\r\n1\ttwo\tx\n\r\n"));
+        let rows = rows(self.client.answer().unwrap());
+        assert_eq!(rows, [["0", "one", "x"], ["1", "two", "x"]], "{case}");
+        let log = terminate(self.gateway);
+        assert_eq!(counter(&log, "answers_malformed"), 1, "{case}: {log}");
+    }
+}
+
+/// Guards against a first page that is passed on as the whole result because the number of pages
+/// cannot be read (review case 3).
+#[test]
+fn a_result_whose_number_of_pages_is_unknown_is_not_served() {
+    let spoilt = [
+        "-",
+        "elapsed=12.5,rss=8",
+        "t~tal=3,elapsed=12.5,rss=8",
+        "total~3,elapsed=12.5,rss=8",
+        "total=3~elapsed=12.5,rss=8",
+        "total=~,elapsed=12.5,rss=8",
+        "total=,elapsed=12.5,rss=8",
+        "total=0,elapsed=12.5,rss=8",
+        "total=-3",
+        "total=+1",
+        "total=1.0",
+        "total=65",
+        "total=99999999999999999999",
+    ];
+    for_each_concurrently(&spoilt, |fields| {
+        let mut statement = OpenStatement::start();
+        statement.answer("DONE", fields, "0\tone\tx\n");
+        statement.assert_served_by_another_attempt(fields);
+    });
+}
+
+/// Guards against a whole result that is lost, or a wrong usage that is learned, because the usage
+/// of the statement cannot be read: the usage is not part of the result.
+#[test]
+fn a_result_whose_usage_is_unknown_is_served() {
+    let spoilt = [
+        "total=1",
+        "total=1,elapsed=~2.5,rss=8",
+        "total=1,elapsed=-12.5,rss=NaN",
+        "total=1,el~psed=12.5,rss=inf",
+        "total=1,elapsed=+2.5~rss=8",
+    ];
+    for_each_concurrently(&spoilt, |fields| {
+        let mut statement = OpenStatement::start();
+        statement.answer("DONE", fields, "0\tone\tx\n");
+        let answer = statement.client.answer().unwrap();
+        assert_eq!(rows(answer), [["0", "one", "x"]], "{fields}");
+        let log = terminate(statement.gateway);
+        assert_eq!(counter(&log, "attempts_sent"), 1, "{fields}: {log}");
+    });
+}
