Responses of an engine take a bounded part of a turn

A read of a connection fills its buffer of 66 KB four times (MAX_READS_PER_TURN in engines/receiving.rs), every complete response in it is handled, and a turn reads a connection more than once (event, continuation, reuse). The smallest response has 13 bytes.

Change: 64 responses of a connection are handled in a turn (TurnBudget), the rest in the next. A connection that is to be reused but sends more than that is closed, since its end cannot be seen. Reads that go on come before time-outs, so that an answer that has arrived counts.

bounded_turns::responses_of_an_engine_take_a_bounded_part_of_a_turn failed before (2,500 responses in 2 turns). The second test, on answers before the end of their connection, holds the new pause; it passed before too. The gateway's tests bounded_turns, connections, endings, golden, process, spoilt_input, standing_terms passed.

--- a/crates/gateway/src/engines/connection.rs
+++ b/crates/gateway/src/engines/connection.rs
@@ -10,7 +10,9 @@
 use super::attempt::{InFlightAttempt, OutgoingAttempt};
 use super::paged_result::{PagedResult, ResultError};
 use super::protocol::{DecodeError, RequestId};
+use super::receiving::MAX_RESPONSES_PER_TURN;
 use crate::socket::Socket;
+use crate::turn_budget::TurnBudget;
 
 /// How long the rest of a response may take after its first byte, and the next page after its
 /// request. The engine has both ready to send, so the limit only has to cover one TCP
@@ -80,6 +82,8 @@
     pub connect_deadline: Option<Timestamp>,
     /// The attempts in flight. Their number is limited by the `Limits.Multiplex` setting.
     pub attempts: HashMap<RequestId, InFlightAttempt>,
+    /// The responses that were handled in the current turn.
+    pub response_budget: TurnBudget<MAX_RESPONSES_PER_TURN>,
     /// When the first byte of an incomplete response arrived; `None` if no response is incomplete.
     pub partial_response_since: Option<Timestamp>,
     /// When the last attempt ended, or when the connection was opened if it had none.
@@ -107,6 +111,7 @@
             socket,
             connect_deadline: Some(now + connect_timeout),
             attempts: HashMap::new(),
+            response_budget: TurnBudget::default(),
             partial_response_since: None,
             idle_since: now,
             retired: false,
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -25,12 +25,14 @@
 
 use crate::counters::Counters;
 use crate::socket::{EventLoopHandle, EventSource};
+use crate::turn_budget::TurnNumber;
 
 pub use attempt::{AttemptUpdate, OutgoingAttempt};
 pub use connection::ConnectionId;
 
 use attempt::AttemptId;
 use attempt_timers::AttemptTimers;
+use connection::ConnectionError;
 use pool::{Candidate, ConnectionPool, OpenError};
 use protocol::RequestId;
 
@@ -53,6 +55,8 @@
     /// Connections that may have more to read after their last read, to be continued in the next
     /// turn.
     unfinished_reads: BTreeSet<ConnectionId>,
+    /// The current turn, in which a limited number of responses of each connection is handled.
+    turn: TurnNumber,
     /// Updates that have not been collected yet, oldest first.
     updates: Vec<AttemptUpdate>,
 }
@@ -70,6 +74,7 @@
             locations: HashMap::new(),
             timers: AttemptTimers::default(),
             unfinished_reads: BTreeSet::new(),
+            turn: TurnNumber::default(),
             updates: Vec::new(),
         }
     }
@@ -136,6 +141,12 @@
             .min()
     }
 
+    /// Begins a turn of the event loop. Responses of every connection may be handled again, up to
+    /// its limit for one turn.
+    pub fn begin_turn(&mut self) {
+        self.turn = self.turn.next();
+    }
+
     /// Sends an attempt and returns the connection that it uses. Returns `None` if it could not be
     /// sent; its end is then reported.
     pub fn send(
@@ -215,6 +226,10 @@
             // before its use.
             self.pool.get_mut(id)?.socket.mark_readable();
             self.read(now, id, counters);
+            if self.unfinished_reads.contains(&id) {
+                // Behind more input than a turn allows, its end cannot be seen.
+                self.fail_connection(now, id, &ConnectionError::UnexpectedResponse, counters);
+            }
             if self.pool.contains(id) {
                 return Some(id);
             }
--- a/crates/gateway/src/engines/receiving.rs
+++ b/crates/gateway/src/engines/receiving.rs
@@ -11,9 +11,13 @@
 use crate::counters::Counters;
 use crate::socket::Socket;
 
-/// How often the read buffer of one connection may be filled in a turn, so that no engine delays
+/// How often the read buffer of one connection may be filled in a read, so that no engine delays
 /// the others.
-const MAX_READS_PER_TURN: usize = 4;
+const MAX_FILLS_PER_READ: usize = 4;
+
+/// How many responses of one connection are handled in a turn. A read buffer may hold thousands of
+/// the smallest ones.
+pub(super) const MAX_RESPONSES_PER_TURN: u32 = 64;
 
 /// Whether a connection may have more to read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +26,17 @@
     Finished,
     /// More bytes may have arrived.
     Unfinished,
+    /// The connection has reached its limit for the turn. The read buffer may hold more responses.
+    Paused,
+}
+
+/// Whether the complete responses in a read buffer have been handled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponsesHandled {
+    /// All of them, or the connection is gone.
+    All,
+    /// As many as the limit for the turn allows.
+    UpToLimit,
 }
 
 impl EngineTransport {
@@ -66,10 +81,14 @@
     /// Reads a connection, up to its limit for one turn. Invalid bytes end the connection at once,
     /// whatever follows them.
     pub(super) fn read(&mut self, now: Timestamp, id: ConnectionId, counters: &mut Counters) {
-        for _ in 0..MAX_READS_PER_TURN {
+        for _ in 0..MAX_FILLS_PER_READ {
             match self.read_once(now, id, counters) {
-                Ok(ReadStatus::Finished) => return self.pool.update_timeout(id),
+                Ok(ReadStatus::Finished) => {
+                    self.unfinished_reads.remove(&id);
+                    return self.pool.update_timeout(id);
+                }
                 Ok(ReadStatus::Unfinished) => {}
+                Ok(ReadStatus::Paused) => break,
                 Err(error) => return self.fail_connection(now, id, &error, counters),
             }
         }
@@ -92,8 +111,11 @@
             return Ok(ReadStatus::Finished);
         };
         let read = connection.socket.read_up_to(MAX_RESPONSE_BYTES);
-        // Responses that arrived before the connection ended still count.
-        self.handle_responses(now, id, counters)?;
+        // Responses that arrived before the connection ended still count. If there are more than
+        // the turn allows, the end is found again behind them.
+        if self.handle_responses(now, id, counters)? == ResponsesHandled::UpToLimit {
+            return Ok(ReadStatus::Paused);
+        }
         let Some(connection) = self.pool.get_mut(id) else {
             return Ok(ReadStatus::Finished);
         };
@@ -108,21 +130,26 @@
         Ok(ReadStatus::Finished)
     }
 
-    /// Handles all complete responses in a connection's read buffer, up to the first invalid one.
+    /// Handles the complete responses in a connection's read buffer, up to the first invalid one or
+    /// the limit for the turn.
     fn handle_responses(
         &mut self,
         now: Timestamp,
         id: ConnectionId,
         counters: &mut Counters,
-    ) -> Result<(), ConnectionError> {
+    ) -> Result<ResponsesHandled, ConnectionError> {
         while let Some(connection) = self.pool.get_mut(id) {
+            if connection.response_budget.is_used_up(self.turn) {
+                return Ok(ResponsesHandled::UpToLimit);
+            }
             let Some(response) = Response::decode(&mut connection.socket.read_buffer)? else {
                 break;
             };
+            connection.response_budget.record(self.turn);
             connection.partial_response_since = None;
             self.handle_response(now, id, response, counters)?;
         }
-        Ok(())
+        Ok(ResponsesHandled::All)
     }
 
     fn handle_response(
--- a/crates/gateway/src/service/mod.rs
+++ b/crates/gateway/src/service/mod.rs
@@ -194,6 +194,7 @@
     /// Begins a turn of the event loop, before the events of its sockets are handled.
     pub fn begin_turn(&mut self) {
         self.sessions.begin_turn();
+        self.engines.begin_turn();
     }
 
     /// Runs one turn of the event loop: handles timers and all pending input, then offers the
@@ -217,8 +218,9 @@
     }
 
     fn handle_timers(&mut self, now: Timestamp) {
-        self.engines.expire_timeouts(now, &mut self.counters);
+        // An answer that has arrived counts, even if its attempt times out in this turn.
         self.engines.resume_reads(now, &mut self.counters);
+        self.engines.expire_timeouts(now, &mut self.counters);
         self.sessions.on_timer(now, &mut self.counters);
         self.sessions.resume(now, &mut self.counters);
         self.discovery.on_timer(now, &mut self.counters);
--- a/crates/gateway/tests/bounded_turns.rs
+++ b/crates/gateway/tests/bounded_turns.rs
@@ -10,7 +10,9 @@
 use std::time::Instant;
 
 use stand_ins::client::{Client, packet, query_packet};
-use support::clients::{LARGE_MEMORY_MB, allow_long_waits, fill_engine, send, tagged_statement};
+use support::clients::{
+    LARGE_MEMORY_MB, allow_long_waits, fill_engine, send, tagged_statement, terminate,
+};
 use support::script::{ScriptedEngine, wait_delivered};
 use support::*;
 
@@ -92,6 +94,54 @@
     assert_eq!(rejected, REQUESTS);
 }
 
+/// How many responses of one connection a turn may handle: `MAX_RESPONSES_PER_TURN` of the gateway.
+const RESPONSES_PER_TURN: i64 = 64;
+
+/// Guards against an engine whose small responses, thousands in each read, keep a turn from ending.
+#[test]
+fn responses_of_an_engine_take_a_bounded_part_of_a_turn() {
+    let engine = ScriptedEngine::new();
+    let mut gateway = Gateway::with_config(&[engine.address], allow_long_waits);
+    let mut client = gateway.client();
+    send(&mut client, &tagged_statement(8, "SELECT 'behind'"));
+    let mut connection = engine.accept();
+    let received = connection.receive_statement();
+    let turns_before = counter(&gateway.settle(), "turns");
+    gateway.suspend();
+    let responses = 2500;
+    connection.send(&"x FIT - 0\r\n\r\n".repeat(responses));
+    connection.complete(&received);
+    gateway.resume();
+    // The answer behind the other responses is not lost.
+    assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    let turns = counter(&gateway.print_counters(), "turns") - turns_before;
+    assert!(
+        turns >= responses as i64 / RESPONSES_PER_TURN,
+        "{responses} responses in {turns} turns"
+    );
+}
+
+/// Guards against responses that are lost because their connection ended behind more of them than a
+/// turn handles.
+#[test]
+fn responses_before_the_end_of_their_connection_count_in_a_later_turn() {
+    let engine = ScriptedEngine::new();
+    let mut gateway = Gateway::with_config(&[engine.address], allow_long_waits);
+    let mut client = gateway.client();
+    send(&mut client, &tagged_statement(8, "SELECT 'behind'"));
+    let mut connection = engine.accept();
+    let received = connection.receive_statement();
+    gateway.suspend();
+    connection.send(&"x FIT - 0\r\n\r\n".repeat(1000));
+    connection.complete(&received);
+    drop(connection);
+    gateway.resume();
+    assert_eq!(rows(client.answer().unwrap()).len(), 1);
+    gateway.settle();
+    let log = terminate(gateway);
+    assert_eq!(counter(&log, "attempts_sent"), 1, "{log}");
+}
+
 /// How many clients send unusable statements, and how many of these each keeps open.
 const BAD_CLIENTS: usize = 3;
 const OPEN_REQUESTS: usize = 900;
