A page whose index cannot be read ends its connection

A page whose index is missing or noise counted as page 0, was ignored as a second copy, and the result waited for its page until the connection stalled (0.3 s).

Change: an index that is missing, no number or beyond the last page makes the answer unusable (ResultError::InvalidPageIndex). A second copy of a page is ignored as before.

--- a/crates/gateway/src/engines/paged_result.rs
+++ b/crates/gateway/src/engines/paged_result.rs
@@ -22,6 +22,8 @@
 pub(super) enum ResultError {
     #[error("the number of pages is missing or not a number from 1 to {MAX_PAGES}")]
     InvalidPageCount,
+    #[error("the index of a page is missing, not a number or beyond the last page")]
+    InvalidPageIndex,
     #[error("the result is larger than {MAX_RESULT_BYTES} bytes")]
     TooLarge,
     #[error("the result does not consist of rows of text")]
@@ -33,7 +35,7 @@
 pub(super) enum PageReceipt {
     /// The page was missing and has been added.
     Accepted,
-    /// The result has no page with this index, or it has arrived before.
+    /// The page has arrived before, or there is no result that it could belong to.
     Unexpected,
 }
 
@@ -91,15 +93,26 @@
     }
 
     /// Adds a page other than the first.
-    pub(super) fn add_page(&mut self, now: Timestamp, page: Response) -> PageReceipt {
-        let index = page.number::<usize>("index").unwrap_or(0);
-        let Some(slot @ None) = self.pages.get_mut(index) else {
-            return PageReceipt::Unexpected;
-        };
+    ///
+    /// # Errors
+    ///
+    /// The response does not say which page it carries, or the result has no such page.
+    pub(super) fn add_page(
+        &mut self,
+        now: Timestamp,
+        page: Response,
+    ) -> Result<PageReceipt, ResultError> {
+        let slot = page
+            .number::<usize>("index")
+            .and_then(|index| self.pages.get_mut(index))
+            .ok_or(ResultError::InvalidPageIndex)?;
+        if slot.is_some() {
+            return Ok(PageReceipt::Unexpected);
+        }
         self.size_bytes += page.body.len();
         self.last_page_received = now;
         *slot = Some(page.body);
-        PageReceipt::Accepted
+        Ok(PageReceipt::Accepted)
     }
 
     /// Returns the pages in order; `None` if one is missing.
--- a/crates/gateway/src/engines/receiving.rs
+++ b/crates/gateway/src/engines/receiving.rs
@@ -263,7 +263,7 @@
             return Ok(());
         };
         let receipt = match &mut attempt.result {
-            Some(result) => result.add_page(now, response),
+            Some(result) => result.add_page(now, response)?,
             None => PageReceipt::Unexpected,
         };
         if receipt == PageReceipt::Unexpected {
--- a/crates/gateway/tests/spoilt_input.rs
+++ b/crates/gateway/tests/spoilt_input.rs
@@ -92,6 +92,34 @@
     });
 }
 
+/// Guards against a page that is put in the place of another, or is waited for in vain, because its
+/// index cannot be read.
+#[test]
+fn a_page_whose_index_is_unknown_ends_its_connection() {
+    let spoilt = [
+        "-",
+        "ind~x=1",
+        "index~1",
+        "index=~",
+        "index=+1",
+        "index=-1",
+        "index=3",
+        "index=99999999999999999999",
+    ];
+    for_each_concurrently(&spoilt, |fields| {
+        let mut statement = OpenStatement::start();
+        statement.answer("DONE", "total=3", "0\tone\tx\n");
+        // Were the spoilt page ignored, the others would complete the result.
+        let pages = [
+            statement.response("MORE", fields, "2\tthree\tx\n"),
+            statement.response("MORE", "index=1", "1\ttwo\tx\n"),
+            statement.response("MORE", "index=2", "2\tthree\tx\n"),
+        ];
+        statement.connection.send(&pages.concat());
+        statement.assert_served_by_another_attempt(fields);
+    });
+}
+
 /// Guards against a whole result that is lost, or a wrong usage that is learned, because the usage
 /// of the statement cannot be read: the usage is not part of the result.
 #[test]
