A share of the work that is out of range does not cancel an attempt

Change: a share that is no number from 0 to 1 is ignored, as unknown notes are. The attempt goes on and its answer counts.

--- a/crates/gateway/src/engines/receiving.rs
+++ b/crates/gateway/src/engines/receiving.rs
@@ -208,11 +208,14 @@
         Some((request_id, attempt))
     }
 
-    /// Reports a status response as an update of its attempt. Unknown remarks are ignored.
+    /// Reports a status response as an update of its attempt. Unknown remarks are ignored, and so
+    /// is a completed share of the work that is not a number from 0 to 1.
     fn report_status(&mut self, attempt: AttemptId, latency: TimeDelta, response: &Response) {
         let value = response.number::<f64>("datum");
         let event = match (response.field("remark"), value) {
-            (Some(b"done"), Some(value)) if value.is_finite() => AttemptEvent::Progress(value),
+            (Some(b"done"), Some(value)) if (0.0..=1.0).contains(&value) => {
+                AttemptEvent::Progress(value)
+            }
             (Some(b"spills" | b"waits"), _) => AttemptEvent::Stalled,
             _ => return,
         };
--- a/crates/gateway/tests/spoilt_input.rs
+++ b/crates/gateway/tests/spoilt_input.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use serde_json::json;
 use stand_ins::client::Client;
 use support::clients::*;
 use support::script::*;
@@ -20,7 +21,10 @@
 impl OpenStatement {
     fn start() -> OpenStatement {
         let engine = ScriptedEngine::new();
-        let gateway = Gateway::with_config(&[engine.address], allow_long_waits);
+        let gateway = Gateway::with_config(&[engine.address], |config| {
+            allow_long_waits(config);
+            config["settings"]["Limits"]["Cancel"] = json!(true);
+        });
         let mut client = gateway.client();
         send(&mut client, &tagged_statement(8, "SELECT 'spoilt'"));
         let mut connection = engine.accept();
@@ -140,3 +144,33 @@
         assert_eq!(counter(&log, "attempts_sent"), 1, "{fields}: {log}");
     });
 }
+
+/// Guards against an attempt that is cancelled as a runaway because a spoilt share of its work is
+/// taken for hardly any progress.
+#[test]
+fn a_share_of_the_work_that_is_out_of_range_cancels_no_attempt() {
+    let spoilt = ["-0.5", "-.9", "+0.0001", "-1e300", "1.5", "NaN", "~.5", ""];
+    for_each_concurrently(&spoilt, |datum| {
+        let mut statement = OpenStatement::start();
+        statement.answer("TELL", &format!("remark=done,datum={datum}"), "");
+        statement.gateway.settle();
+        assert!(statement.connection.has_no_input(), "{datum}");
+        statement.connection.complete(&statement.received);
+        assert_eq!(rows(statement.client.answer().unwrap()).len(), 1, "{datum}");
+        let log = terminate(statement.gateway);
+        assert_eq!(counter(&log, "attempts_cancelled"), 0, "{datum}: {log}");
+    });
+}
+
+/// Shows that the test above sees a cancelled attempt: a share that is in range is used.
+#[test]
+fn a_share_of_the_work_that_is_in_range_cancels_a_runaway_attempt() {
+    let mut statement = OpenStatement::start();
+    statement.answer("TELL", "remark=done,datum=0.0001", "");
+    let line = statement.connection.read_line();
+    assert_eq!(line, Some(format!("undo {}", statement.received.id)));
+    let mut again = statement.engine.accept();
+    let received = again.receive_statement();
+    again.complete(&received);
+    assert_eq!(rows(statement.client.answer().unwrap()).len(), 1);
+}
