Unusable fields of an engine in the endpoint list are errors, not defaults

A wrong cell lets a keyed statement be repeated at an engine that does not know its key; a start that is lost skips the slow start of a cold engine. All other fields of an engine were errors already.

Change: a field that is there and cannot be used is an error with its name; the answer is refused and the list asked for again, and a configuration with it is refused, as with the other fields. A field that is absent has its default as before (golden test `least-fields`), so a field whose name is spoilt still reads as absent.

codecs::an_endpoint_with_an_unusable_field_is_reported_with_its_name failed on. The gateway's tests golden, machine_answers and process passed.

--- a/crates/gateway/src/discovery/endpoints.rs
+++ b/crates/gateway/src/discovery/endpoints.rs
@@ -9,6 +9,12 @@
 
 const MILLIS_PER_SECOND: f64 = 1e3;
 
+/// The scale of an engine for which the list gives none.
+const UNKNOWN_SCALE: f64 = 1.0;
+
+/// The cell of an engine for which the list gives none.
+const ONLY_CELL: u16 = 0;
+
 /// Why a list of events is invalid.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum EndpointListError {
@@ -141,8 +147,7 @@
         _ => return Err(EndpointListError::Field("state")),
     };
     // The service sends zero for an engine whose start is unknown.
-    let started_ms = json["boot_ms"].as_f64().filter(|ms| *ms > 0.0);
-    let cell = json["pod_group"].as_u64().unwrap_or(0);
+    let started_ms = optional_quantity(json, "boot_ms")?.filter(|ms| *ms > 0.0);
     Ok(Endpoint {
         uid: text("uid")?.to_owned(),
         address: text("endpoint")?
@@ -150,9 +155,34 @@
             .map_err(|_| EndpointListError::Field("endpoint"))?,
         location: text("az")?.to_owned(),
         machine: text("model")?.to_owned(),
-        cell: cell.min(u16::MAX.into()) as u16,
+        cell: cell_from_json(json)?,
         stage,
-        scale: json["capacity_hint"].as_f64().unwrap_or(1.0),
+        scale: optional_quantity(json, "capacity_hint")?.unwrap_or(UNKNOWN_SCALE),
         started: started_ms.map(|ms| Timestamp::from_secs(ms / MILLIS_PER_SECOND)),
     })
 }
+
+/// Returns the number in a field that a list may leave out; `None` if it is absent.
+///
+/// # Errors
+///
+/// The field is not a number, or is below zero.
+fn optional_quantity(json: &Value, name: &'static str) -> Result<Option<f64>, EndpointListError> {
+    let field = &json[name];
+    if field.is_null() {
+        return Ok(None);
+    }
+    let quantity = field.as_f64().filter(|quantity| *quantity >= 0.0);
+    quantity.map(Some).ok_or(EndpointListError::Field(name))
+}
+
+/// Returns the cell of an engine. A wrong cell would let a statement with an idempotency key be
+/// repeated at an engine that does not know the key, so an unusable one is an error.
+fn cell_from_json(json: &Value) -> Result<u16, EndpointListError> {
+    let field = &json["pod_group"];
+    if field.is_null() {
+        return Ok(ONLY_CELL);
+    }
+    let cell = field.as_u64().and_then(|cell| u16::try_from(cell).ok());
+    cell.ok_or(EndpointListError::Field("pod_group"))
+}
--- a/crates/gateway/tests/codecs.rs
+++ b/crates/gateway/tests/codecs.rs
@@ -391,6 +391,32 @@
     }
 }
 
+/// Guards against a field that cannot be used and is replaced by a default: a wrong cell, size or
+/// start of an engine.
+#[test]
+fn an_endpoint_with_an_unusable_field_is_reported_with_its_name() {
+    let error_of = |from: &str, to: &str| {
+        let text = SNAPSHOT_ANSWER.replace(from, to);
+        assert_ne!(text, SNAPSHOT_ANSWER, "{to}");
+        EventBatch::from_json(&serde_json::from_str(&text).unwrap()).unwrap_err()
+    };
+    for cell in [r#""1""#, "-1", "1.5", "65536", "true", "[1]"] {
+        let error = error_of(r#""pod_group":1"#, &format!(r#""pod_group":{cell}"#));
+        assert_eq!(error, EndpointListError::Field("pod_group"), "{cell}");
+    }
+    for scale in [r#""6""#, "-6", "false", "{}"] {
+        let error = error_of(
+            r#""capacity_hint":6"#,
+            &format!(r#""capacity_hint":{scale}"#),
+        );
+        assert_eq!(error, EndpointListError::Field("capacity_hint"), "{scale}");
+    }
+    for start in [r#""0""#, "-1", "true", "[]"] {
+        let error = error_of(r#""boot_ms":0"#, &format!(r#""boot_ms":{start}"#));
+        assert_eq!(error, EndpointListError::Field("boot_ms"), "{start}");
+    }
+}
+
 #[test]
 fn endpoint_events_become_engine_updates_by_uid() {
     let events = |text: &str| EventBatch::from_json(&serde_json::from_str(text).unwrap());
