A poll's response whose end cannot be read is an error

A Connection header that is not text only closes the connection after the response; its events count.

codecs::a_poll_response_with_unusable_framing_is_an_error failed on. The gateway's tests codecs, golden and process passed.

--- a/crates/gateway/src/discovery/http.rs
+++ b/crates/gateway/src/discovery/http.rs
@@ -17,8 +17,8 @@
 
 const STATUS_OK: u16 = 200;
 
-/// The size in bytes of the CR LF that ends the data of each chunk.
-const CHUNK_END_BYTES: usize = 2;
+/// The bytes that end the data of each chunk.
+const CHUNK_END: &[u8] = b"\r\n";
 
 /// Whether more input may arrive on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +68,9 @@
     /// before the last chunk.
     #[error("a chunk of the HTTP response is malformed, incomplete or too large")]
     Chunk,
+    /// The header with this name has a value that is not text or that is not supported.
+    #[error("the HTTP header {0} cannot be used")]
+    Header(&'static str),
     /// The length of the body is not a number or exceeds [`MAX_RESPONSE_BYTES`].
     #[error("the body length of the HTTP response is invalid or too large")]
     Length,
@@ -124,23 +127,44 @@
     Ok(PollResponse::Complete { batch, reuse })
 }
 
-/// Returns the trimmed value of the first header with this name; `None` if it is absent or not
-/// UTF-8 text.
-fn header<'h>(head: &httparse::Response<'_, 'h>, name: &str) -> Option<&'h str> {
+/// Returns the trimmed value of the first header with this name; `None` if it is absent.
+///
+/// # Errors
+///
+/// The value is not UTF-8 text.
+fn header<'h>(
+    head: &httparse::Response<'_, 'h>,
+    name: &'static str,
+) -> Result<Option<&'h str>, ResponseError> {
     let header = head
         .headers
         .iter()
-        .find(|header| header.name.eq_ignore_ascii_case(name))?;
-    std::str::from_utf8(header.value).ok().map(str::trim)
+        .find(|header| header.name.eq_ignore_ascii_case(name));
+    let Some(header) = header else {
+        return Ok(None);
+    };
+    match std::str::from_utf8(header.value) {
+        Ok(value) => Ok(Some(value.trim())),
+        Err(_) => Err(ResponseError::Header(name)),
+    }
 }
 
+/// Returns whether the connection may be used again. It may not if the header that says so is not
+/// text, but the events of the response count.
 fn connection_reuse(head: &httparse::Response<'_, '_>) -> ConnectionReuse {
     match header(head, "connection") {
-        Some(value) if value.eq_ignore_ascii_case("close") => ConnectionReuse::Close,
-        _ => ConnectionReuse::KeepAlive,
+        Ok(Some(value)) if value.eq_ignore_ascii_case("close") => ConnectionReuse::Close,
+        Ok(_) => ConnectionReuse::KeepAlive,
+        Err(_) => ConnectionReuse::Close,
     }
 }
 
+/// Parses a decimal number without a sign. The parser of the standard library accepts a plus sign.
+fn parse_length(text: &str) -> Option<usize> {
+    let is_decimal = text.bytes().all(|byte| byte.is_ascii_digit());
+    if is_decimal { text.parse().ok() } else { None }
+}
+
 /// How the end of the body is marked.
 enum Framing {
     /// By a last chunk of size zero.
@@ -160,15 +184,17 @@
 
 impl Framing {
     fn from_head(head: &httparse::Response<'_, '_>) -> Result<Self, ResponseError> {
-        let is_chunked = header(head, "transfer-encoding")
-            .is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
-        if is_chunked {
-            return Ok(Framing::Chunked);
+        match header(head, "transfer-encoding")? {
+            Some(value) if value.eq_ignore_ascii_case("chunked") => return Ok(Framing::Chunked),
+            Some(_) => return Err(ResponseError::Header("transfer-encoding")),
+            None => {}
         }
-        match header(head, "content-length").map(str::parse::<usize>) {
-            Some(Ok(length)) if length <= MAX_RESPONSE_BYTES => Ok(Framing::ContentLength(length)),
-            Some(_) => Err(ResponseError::Length),
-            None => Ok(Framing::UntilClose),
+        let Some(length) = header(head, "content-length")? else {
+            return Ok(Framing::UntilClose);
+        };
+        match parse_length(length) {
+            Some(length) if length <= MAX_RESPONSE_BYTES => Ok(Framing::ContentLength(length)),
+            _ => Err(ResponseError::Length),
         }
     }
 
@@ -217,7 +243,7 @@
         let start = position + size_line_bytes;
         let end = start
             .checked_add(size)
-            .and_then(|end| end.checked_add(CHUNK_END_BYTES));
+            .and_then(|end| end.checked_add(CHUNK_END.len()));
         let Some(chunk) = end.and_then(|end| encoded.get(start..end)) else {
             return if size > MAX_RESPONSE_BYTES {
                 Err(httparse::InvalidChunkSize)
@@ -232,6 +258,9 @@
                 encoded_bytes: position,
             }));
         }
+        if !chunk.ends_with(CHUNK_END) {
+            return Err(httparse::InvalidChunkSize);
+        }
         content.extend_from_slice(&chunk[..size]);
     }
 }
--- a/crates/gateway/tests/codecs.rs
+++ b/crates/gateway/tests/codecs.rs
@@ -417,6 +417,40 @@
     }
 }
 
+/// Guards against a header or chunk that cannot be used and is passed over, so that the body ends
+/// where the service did not end it.
+#[test]
+fn a_poll_response_with_unusable_framing_is_an_error() {
+    let length = SNAPSHOT_ANSWER.len();
+    let heads = [
+        format!("Content-Length: +{length}").into_bytes(),
+        [format!("Content-Length: {length}").as_bytes(), b"\xff"].concat(),
+        b"Transfer-Encoding: chun\xffed".to_vec(),
+        b"Transfer-Encoding: ch~nked".to_vec(),
+    ];
+    for head in heads {
+        let head = [b"HTTP/1.1 200 OK\r\n", &head[..], b"\r\n\r\n"].concat();
+        let mut inbox = BytesMut::from(&[&head[..], SNAPSHOT_ANSWER.as_bytes()].concat()[..]);
+        let decoded = http::take_response(&mut inbox, InputState::Open);
+        assert!(decoded.is_err(), "{}", String::from_utf8_lossy(&head));
+    }
+    // The header that only says whether the connection stays open costs no events.
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: ");
+    let response = [head.as_bytes(), b"\xff\r\n\r\n", SNAPSHOT_ANSWER.as_bytes()].concat();
+    let decoded = http::take_response(&mut BytesMut::from(&response[..]), InputState::Open);
+    assert!(matches!(
+        decoded,
+        Ok(PollResponse::Complete {
+            reuse: ConnectionReuse::Close,
+            ..
+        })
+    ));
+    let chunks = format!("{length:x}\r\n{SNAPSHOT_ANSWER}~~0\r\n\r\n");
+    let text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
+    let decoded = http::take_response(&mut BytesMut::from(&text[..]), InputState::Open);
+    assert!(decoded.is_err(), "{decoded:?}");
+}
+
 #[test]
 fn endpoint_events_become_engine_updates_by_uid() {
     let events = |text: &str| EventBatch::from_json(&serde_json::from_str(text).unwrap());
