A crowd of clients takes a bounded part of a turn

Change: after 512 packets of all sessions in a turn each session gets one (Sessions::may_process_packet), so that no session waits for more than a turn.

--- a/crates/gateway/src/clients/input.rs
+++ b/crates/gateway/src/clients/input.rs
@@ -77,6 +77,19 @@
         self.write(now, id, counters);
     }
 
+    /// Whether a packet of a session may be processed now, within the limits for the turn.
+    fn may_process_packet(&self, id: SessionId) -> bool {
+        let Some(session) = self.sessions.get(&id) else {
+            return false;
+        };
+        if session.is_blocked() || session.packet_budget.is_used_up(self.turn) {
+            return false;
+        }
+        // Every session gets one packet in a turn, however many there are.
+        let is_first = !session.packet_budget.is_begun(self.turn);
+        is_first || !self.packet_budget.is_used_up(self.turn)
+    }
+
     /// Flushes pending output and reads as much as the read buffer may hold.
     ///
     /// # Errors
@@ -106,13 +119,10 @@
     }
 
     fn process_packets(&mut self, now: Timestamp, id: SessionId, counters: &mut Counters) {
-        loop {
+        while self.may_process_packet(id) {
             let Some(session) = self.sessions.get_mut(&id) else {
                 return;
             };
-            if session.is_blocked() || session.packet_budget.is_used_up(self.turn) {
-                return;
-            }
             let bytes_before = session.socket.read_buffer.len();
             let packet = packet::take_packet(&mut session.socket.read_buffer);
             let bytes_left = session.socket.read_buffer.len();
@@ -121,6 +131,7 @@
             match packet {
                 Ok(Some(packet)) => {
                     session.packet_budget.record(self.turn);
+                    self.packet_budget.record(self.turn);
                     self.process_packet(now, id, &packet, counters);
                 }
                 Ok(None) if is_over_unread_limit && bytes_left > MAX_TYPICAL_PACKET_BYTES => {
--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -39,7 +39,7 @@
 
 use crate::counters::Counters;
 use crate::socket::{EventLoopHandle, EventSource, Socket};
-use crate::turn_budget::TurnNumber;
+use crate::turn_budget::{TurnBudget, TurnNumber};
 
 /// The value that the protocol reserves for an unset connection id. No session gets it.
 const UNSET_CONNECTION_ID: u32 = 0;
@@ -49,6 +49,10 @@
 const WAITING_STAGE: u8 = 1;
 const STAGE_COUNT: u8 = 2;
 
+/// How many packets of all sessions are processed in a turn before each session gets only one. A
+/// crowd of clients that send at full speed then delays the others by milliseconds.
+const MAX_PACKETS_OF_ALL_PER_TURN: u32 = 512;
+
 /// Limits on all sessions together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SessionLimits {
@@ -93,6 +97,8 @@
     unfinished: BTreeSet<SessionId>,
     /// The current turn, in which each session may process a limited number of packets.
     turn: TurnNumber,
+    /// The packets that all sessions together have processed in the current turn.
+    packet_budget: TurnBudget<MAX_PACKETS_OF_ALL_PER_TURN>,
     /// The total size of all read buffers, in bytes.
     unread_bytes: usize,
     /// Events that have not been taken yet, oldest first.
@@ -121,6 +127,7 @@
             disconnected: BTreeSet::new(),
             unfinished: BTreeSet::new(),
             turn: TurnNumber::default(),
+            packet_budget: TurnBudget::default(),
             unread_bytes: 0,
             events: Vec::new(),
             next_sweep: now,
--- a/crates/gateway/src/turn_budget.rs
+++ b/crates/gateway/src/turn_budget.rs
@@ -15,7 +15,8 @@
     }
 }
 
-/// Counts what one peer was served in the current turn, at most `MAX` pieces of work.
+/// Counts what one peer, or a group of them, was served in the current turn, at most `MAX` pieces of
+/// work.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct TurnBudget<const MAX: u32> {
     /// The turn that `used` belongs to.
@@ -29,6 +30,11 @@
         self.turn == turn && self.used >= MAX
     }
 
+    /// Whether the peer was served in this turn.
+    pub(crate) fn is_begun(&self, turn: TurnNumber) -> bool {
+        self.turn == turn && self.used > 0
+    }
+
     /// Counts one piece of work in this turn.
     pub(crate) fn record(&mut self, turn: TurnNumber) {
         if self.turn != turn {
--- a/crates/gateway/tests/bounded_turns.rs
+++ b/crates/gateway/tests/bounded_turns.rs
@@ -9,9 +9,11 @@
 use std::thread::{self, sleep};
 use std::time::Instant;
 
+use serde_json::json;
 use stand_ins::client::{Client, packet, query_packet};
 use support::clients::{
-    LARGE_MEMORY_MB, allow_long_waits, fill_engine, send, tagged_statement, terminate,
+    LARGE_MEMORY_MB, allow_long_waits, fill_engine, local_addresses, send, tagged_statement,
+    terminate,
 };
 use support::script::{ScriptedEngine, wait_delivered};
 use support::*;
@@ -109,6 +111,41 @@
     assert_eq!(rejected, REQUESTS);
 }
 
+/// How many packets of all sessions a turn may process before each session gets only one:
+/// `MAX_PACKETS_OF_ALL_PER_TURN` of the gateway.
+const PACKETS_OF_ALL_PER_TURN: usize = 512;
+
+/// Guards against a crowd of clients each of which takes its whole part of a turn.
+#[test]
+fn requests_of_many_clients_take_a_bounded_part_of_a_turn() {
+    let engine = engine(1);
+    let mut gateway = Gateway::with_config(&[engine.address], |config| {
+        config["limits"]["sockets"] = json!(1024);
+    });
+    let mut clients: Vec<Client> = (0..128).map(|_| gateway.client()).collect();
+    let requests = 64;
+    let turns_before = counter(&gateway.settle(), "turns");
+    gateway.suspend();
+    let pings = packet(0, &[0x0e]).repeat(requests);
+    for client in &mut clients {
+        client.stream.write_all(&pings).unwrap();
+    }
+    wait_delivered(&local_addresses(&clients));
+    gateway.resume();
+    for client in &mut clients {
+        for _ in 0..requests {
+            client.answer().unwrap();
+        }
+    }
+    let turns = counter(&gateway.print_counters(), "turns") - turns_before;
+    let packets = clients.len() * requests;
+    let packets_per_turn = PACKETS_OF_ALL_PER_TURN + clients.len();
+    assert!(
+        turns as usize >= packets / packets_per_turn,
+        "{packets} packets in {turns} turns"
+    );
+}
+
 /// How many responses of one connection a turn may handle: `MAX_RESPONSES_PER_TURN` of the gateway.
 const RESPONSES_PER_TURN: i64 = 64;
 
--- a/crates/gateway/tests/support/clients.rs
+++ b/crates/gateway/tests/support/clients.rs
@@ -53,6 +53,12 @@
     wait_delivered(&[client.stream.local_addr().unwrap()]);
 }
 
+/// Returns the addresses by which the kernel knows these clients' ends of their connections.
+pub(crate) fn local_addresses(clients: &[Client]) -> Vec<SocketAddr> {
+    let address = |client: &Client| client.stream.local_addr().unwrap();
+    clients.iter().map(address).collect()
+}
+
 /// The way in which a client gives up its open statement.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Departure {
