TLS handshakes of many clients take a bounded part of a turn

Seen (a trial): 500 sessions whose first TLS message arrives at once, one turn of 106 ms.

Change: 32 reads of sessions within their handshake in a turn, the requests that begin one counted; the others follow in the next turns.

identity::tls_handshakes_of_many_clients_take_a_bounded_part_of_a_turn failed on, 128 handshakes in 2 turns.

--- a/crates/gateway/src/clients/input.rs
+++ b/crates/gateway/src/clients/input.rs
@@ -68,6 +68,10 @@
     /// has reached its limit for the turn, and then writes. Removes the session if the connection
     /// fails.
     pub(super) fn process(&mut self, now: Timestamp, id: SessionId, counters: &mut Counters) {
+        if self.must_wait_for_handshake(id) {
+            self.unfinished.insert(id);
+            return;
+        }
         let received = self.read(id).and_then(|()| self.detect_client_end(now, id));
         if let Err(error) = received {
             return self.remove(id, &error.into(), counters);
@@ -77,6 +81,23 @@
         self.write(now, id, counters);
     }
 
+    /// Whether a session is within its TLS handshake and may not be read in this turn, because
+    /// enough others were.
+    fn must_wait_for_handshake(&mut self, id: SessionId) -> bool {
+        let is_handshaking = self
+            .sessions
+            .get(&id)
+            .is_some_and(|session| session.socket.is_handshaking());
+        if !is_handshaking {
+            return false;
+        }
+        if self.handshake_budget.is_used_up(self.turn) {
+            return true;
+        }
+        self.handshake_budget.record(self.turn);
+        false
+    }
+
     /// Whether a packet of a session may be processed now, within the limits for the turn.
     fn may_process_packet(&self, id: SessionId) -> bool {
         let Some(session) = self.sessions.get(&id) else {
@@ -85,6 +106,10 @@
         if session.is_blocked() || session.packet_budget.is_used_up(self.turn) {
             return false;
         }
+        let begins_handshake = self.tls.is_some() && session.state == SessionState::AwaitingLogin;
+        if begins_handshake && self.handshake_budget.is_used_up(self.turn) {
+            return false;
+        }
         // Every session gets one packet in a turn, however many there are.
         let is_first = !session.packet_budget.is_begun(self.turn);
         is_first || !self.packet_budget.is_used_up(self.turn)
--- a/crates/gateway/src/clients/login.rs
+++ b/crates/gateway/src/clients/login.rs
@@ -115,6 +115,7 @@
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
+        self.handshake_budget.record(self.turn);
         let bytes_before = session.socket.read_buffer.len();
         let start = session.socket.start_tls(tls);
         let bytes_after = session.socket.read_buffer.len();
--- a/crates/gateway/src/clients/mod.rs
+++ b/crates/gateway/src/clients/mod.rs
@@ -53,6 +53,10 @@
 /// crowd of clients that send at full speed then delays the others by milliseconds.
 const MAX_PACKETS_OF_ALL_PER_TURN: u32 = 512;
 
+/// How often sessions are read within their TLS handshake in a turn. The key exchange takes as long
+/// as tens of other packets.
+const MAX_HANDSHAKE_READS_PER_TURN: u32 = 32;
+
 /// Limits on all sessions together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SessionLimits {
@@ -99,6 +103,8 @@
     turn: TurnNumber,
     /// The packets that all sessions together have processed in the current turn.
     packet_budget: TurnBudget<MAX_PACKETS_OF_ALL_PER_TURN>,
+    /// The reads within TLS handshakes in the current turn.
+    handshake_budget: TurnBudget<MAX_HANDSHAKE_READS_PER_TURN>,
     /// The total size of all read buffers, in bytes.
     unread_bytes: usize,
     /// Events that have not been taken yet, oldest first.
@@ -128,6 +134,7 @@
             unfinished: BTreeSet::new(),
             turn: TurnNumber::default(),
             packet_budget: TurnBudget::default(),
+            handshake_budget: TurnBudget::default(),
             unread_bytes: 0,
             events: Vec::new(),
             next_sweep: now,
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -215,6 +215,12 @@
         self.tls.is_some()
     }
 
+    /// Whether a TLS handshake was started and is not complete.
+    #[must_use]
+    pub fn is_handshaking(&self) -> bool {
+        self.tls.as_ref().is_some_and(|tls| tls.is_handshaking())
+    }
+
     /// Appends received bytes to the read buffer, decrypted if TLS was started. An invalid record
     /// is an error that ends the connection.
     fn append_received(&mut self, mut received: &[u8]) -> io::Result<()> {
--- a/crates/gateway/tests/identity.rs
+++ b/crates/gateway/tests/identity.rs
@@ -20,6 +20,7 @@
 use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
 use stand_ins::client::{Client, login_packet, packet, query_packet};
 use stand_ins::engine::Engine;
+use support::clients::local_addresses;
 use support::script::wait_delivered;
 use support::*;
 
@@ -121,8 +122,8 @@
         Gateway::with_operator_file(&addresses, &operator, change)
     }
 
-    /// Logs in over TLS with the token; an error is given by its code and text.
-    fn login(&self, listen: SocketAddr, token: &str) -> Result<TlsClient, (u16, String)> {
+    /// Returns the client's side of a TLS connection whose handshake has not begun.
+    fn tls_connection(&self) -> ClientConnection {
         let mut roots = RootCertStore::empty();
         roots.add(self.certificate.clone()).unwrap();
         let provider = Arc::new(rustls::crypto::ring::default_provider());
@@ -130,15 +131,16 @@
             .with_safe_default_protocol_versions()
             .unwrap();
         let config = Arc::new(builder.with_root_certificates(roots).with_no_client_auth());
-        let mut plain = Client::open(listen, b"").unwrap();
-        // SSLRequest packet: the fixed part of a login packet with the CLIENT_SSL flag set.
-        let mut head = login_packet("", b"", "")[4..36].to_vec();
-        head[1] |= 0x08;
-        plain.stream.write_all(&packet(1, &head)).unwrap();
         let name = ServerName::try_from("localhost").unwrap();
-        let tls = ClientConnection::new(config, name).unwrap();
+        ClientConnection::new(config, name).unwrap()
+    }
+
+    /// Logs in over TLS with the token; an error is given by its code and text.
+    fn login(&self, listen: SocketAddr, token: &str) -> Result<TlsClient, (u16, String)> {
+        let mut plain = Client::open(listen, b"").unwrap();
+        plain.stream.write_all(&tls_request()).unwrap();
         let mut client = TlsClient {
-            stream: StreamOwned::new(tls, plain.stream),
+            stream: StreamOwned::new(self.tls_connection(), plain.stream),
         };
         let mut login = login_packet("token", b"", "warehouse");
         login[3] = 2;
@@ -159,6 +161,13 @@
     }
 }
 
+/// Returns an SSLRequest packet: the fixed part of a login packet with the CLIENT_SSL flag set.
+fn tls_request() -> Vec<u8> {
+    let mut head = login_packet("", b"", "")[4..36].to_vec();
+    head[1] |= 0x08;
+    packet(1, &head)
+}
+
 /// A client connection over TLS.
 struct TlsClient {
     stream: StreamOwned<ClientConnection, TcpStream>,
@@ -224,6 +233,41 @@
     );
 }
 
+/// How often a turn may read sessions within their TLS handshake: `MAX_HANDSHAKE_READS_PER_TURN`
+/// of the gateway.
+const HANDSHAKE_READS_PER_TURN: usize = 32;
+
+/// Guards against a crowd of clients whose key exchanges fill one turn.
+#[test]
+fn tls_handshakes_of_many_clients_take_a_bounded_part_of_a_turn() {
+    let (site, engine) = (TestSite::new(), engine(1));
+    let mut gateway = site.gateway_with_config(&[engine], "", |config| {
+        config["limits"]["sockets"] = serde_json::json!(1024);
+    });
+    let mut hello = tls_request();
+    site.tls_connection().write_tls(&mut hello).unwrap();
+    let mut clients: Vec<Client> = (0..128)
+        .map(|_| Client::open(gateway.listen, b"").unwrap())
+        .collect();
+    let turns_before = counter(&gateway.settle(), "turns");
+    gateway.suspend();
+    for client in &mut clients {
+        client.stream.write_all(&hello).unwrap();
+    }
+    wait_delivered(&local_addresses(&clients));
+    gateway.resume();
+    for client in &mut clients {
+        let mut server_hello = [0];
+        client.stream.read_exact(&mut server_hello).unwrap();
+    }
+    let turns = counter(&gateway.print_counters(), "turns") - turns_before;
+    assert!(
+        turns as usize >= clients.len() / HANDSHAKE_READS_PER_TURN,
+        "{} handshakes in {turns} turns",
+        clients.len()
+    );
+}
+
 /// Returns the error code of a login, or 0 when it succeeded.
 fn code(answer: Result<TlsClient, (u16, String)>) -> u16 {
     answer.map(|_| 0).unwrap_or_else(|error| error.0)
