--- a/crates/gateway/tests/bounded_turns.rs
+++ b/crates/gateway/tests/bounded_turns.rs
@@ -9,9 +9,11 @@
 use std::thread::{self, sleep};
 use std::time::Instant;
 
+use serde_json::json;
 use stand_ins::client::{Client, packet, query_packet};
 use support::clients::{
-    LARGE_MEMORY_MB, allow_long_waits, fill_engine, send, tagged_statement, terminate,
+    LARGE_MEMORY_MB, allow_long_waits, fill_engine, local_addresses, send, tagged_statement,
+    terminate,
 };
 use support::script::{ScriptedEngine, wait_delivered};
 use support::*;
@@ -26,6 +28,16 @@
 /// Sends the same request many times, all of which arrive before the gateway reads any of them,
 /// and asserts that the gateway took enough turns to answer them.
 fn assert_bounded_part_of_a_turn(gateway: &mut Gateway, name: &str, request: &[u8]) {
+    let turns = turns_to_answer(gateway, request);
+    assert!(
+        turns >= REQUESTS / PACKETS_PER_TURN,
+        "{name}: {REQUESTS} requests in {turns} turns"
+    );
+}
+
+/// Sends the same request many times, all of which arrive before the gateway reads any of them.
+/// Returns the number of turns until all are answered.
+fn turns_to_answer(gateway: &mut Gateway, request: &[u8]) -> i64 {
     let mut client = gateway.client();
     let turns_before = counter(&gateway.settle(), "turns");
     gateway.suspend();
@@ -38,11 +50,7 @@
     for _ in 0..REQUESTS {
         client.answer().unwrap();
     }
-    let turns = counter(&gateway.print_counters(), "turns") - turns_before;
-    assert!(
-        turns >= REQUESTS / PACKETS_PER_TURN,
-        "{name}: {REQUESTS} requests in {turns} turns"
-    );
+    counter(&gateway.print_counters(), "turns") - turns_before
 }
 
 /// Guards against requests that are answered at once and let their session go on within the same
@@ -77,14 +85,23 @@
 }
 "#;
 
-/// Guards against answers from the queues that let their session go on within the same turn: their
-/// status, and the rejection of statements for which they have no room.
+/// Guards against tables of hundreds of rows, many in one turn, each of which takes as long as
+/// hundreds of other answers.
+#[test]
+fn a_table_is_the_only_answer_of_its_session_in_a_turn() {
+    let engine = engine(1);
+    let mut gateway = Gateway::with_operator_file(&[engine.address], QUEUE_SETTINGS, |_| {});
+    let turns = turns_to_answer(&mut gateway, &query_packet("SHOW QUEUE"));
+    assert!(turns >= REQUESTS, "{REQUESTS} tables in {turns} turns");
+}
+
+/// Guards against statements for which the queues have no room, and whose rejection lets their
+/// session go on within the same turn.
 #[test]
-fn requests_that_the_queues_answer_at_once_take_a_bounded_part_of_a_turn() {
+fn statements_that_the_queues_reject_at_once_take_a_bounded_part_of_a_turn() {
     let engine = ScriptedEngine::new();
     let mut gateway =
         Gateway::with_operator_file(&[engine.address], QUEUE_SETTINGS, allow_long_waits);
-    assert_bounded_part_of_a_turn(&mut gateway, "status", &query_packet("SHOW QUEUE"));
     let _filled = fill_engine(&gateway, &engine);
     let mut waiting = gateway.client();
     send(&mut waiting, &tagged_statement(LARGE_MEMORY_MB, "SELECT 1"));
@@ -94,6 +111,41 @@
     assert_eq!(rejected, REQUESTS);
 }
 
+/// How many packets of all sessions a turn may process before each session gets only one:
+/// `MAX_PACKETS_OF_ALL_PER_TURN` of the gateway.
+const PACKETS_OF_ALL_PER_TURN: usize = 512;
+
+/// Guards against a crowd of clients each of which takes its whole part of a turn.
+#[test]
+fn requests_of_many_clients_take_a_bounded_part_of_a_turn() {
+    let engine = engine(1);
+    let mut gateway = Gateway::with_config(&[engine.address], |config| {
+        config["limits"]["sockets"] = json!(1024);
+    });
+    let mut clients: Vec<Client> = (0..128).map(|_| gateway.client()).collect();
+    let requests = 64;
+    let turns_before = counter(&gateway.settle(), "turns");
+    gateway.suspend();
+    let pings = packet(0, &[0x0e]).repeat(requests);
+    for client in &mut clients {
+        client.stream.write_all(&pings).unwrap();
+    }
+    wait_delivered(&local_addresses(&clients));
+    gateway.resume();
+    for client in &mut clients {
+        for _ in 0..requests {
+            client.answer().unwrap();
+        }
+    }
+    let turns = counter(&gateway.print_counters(), "turns") - turns_before;
+    let packets = clients.len() * requests;
+    let packets_per_turn = PACKETS_OF_ALL_PER_TURN + clients.len();
+    assert!(
+        turns as usize >= packets / packets_per_turn,
+        "{packets} packets in {turns} turns"
+    );
+}
+
 /// How many responses of one connection a turn may handle: `MAX_RESPONSES_PER_TURN` of the gateway.
 const RESPONSES_PER_TURN: i64 = 64;
 
