Tests: a gateway counts as ready once its kernel has the end of the session that asked

Seen: a_statement_of_a_client_that_departed_in_the_listen_backlog_is_not_sent (KNOWN-RED) failed in 2 of 6 runs of its file beside ten busy processes, and once in a run of all the gateway's tests: one session open right after settle(), where none should be. No statement was sent yet, so it is the session by which Gateway::wait_ready asks: it was dropped, and its end came after settle().

No check is changed.

The entry stays in KNOWN-RED.txt: what it names (7, 4 and 3 of 8 statements accepted) was not seen again and not traced.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,7 +7,7 @@
 pub(crate) mod script;
 
 use std::io::{BufRead, BufReader, Read};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -213,12 +213,18 @@
         }
     }
 
+    /// Waits until the gateway answers. The gateway's kernel has received the end of the session
+    /// that was used for this, so that `settle` waits until it is closed.
     pub(crate) fn wait_ready(&self) {
         let deadline = Instant::now() + millis(10_000);
         // With `identity` configured, a login without TLS is refused with error 3159; that shows
         // that the gateway is ready as well.
-        let ready = || match Client::login(self.listen).and_then(|mut client| client.ping()) {
-            Ok(_) => true,
+        let ready = || match Client::login(self.listen) {
+            Ok(mut client) => {
+                let is_ready = client.ping().is_ok();
+                shut_down(&client);
+                is_ready
+            }
             Err(error) => error.to_string().contains("3159"),
         };
         while !ready() {
@@ -261,6 +267,15 @@
     }
 }
 
+/// Ends a client's connection and waits until the kernel of the other end has received that. Closing
+/// it does not end it while another thread starts a process, which holds a copy of the descriptor
+/// until it runs its program.
+fn shut_down(client: &Client) {
+    let address = client.stream.local_addr().unwrap();
+    let _ = client.stream.shutdown(Shutdown::Both);
+    script::wait_delivered(&[address]);
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         let _ = self.child.kill();
