--- a/crates/gateway/src/discovery/registry.rs
+++ b/crates/gateway/src/discovery/registry.rs
@@ -1,6 +1,6 @@
 //! The engines that discovery lists at present, and the ids that the scheduler uses for them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use admission::interface::{
@@ -123,9 +123,12 @@
 
     /// Removes all engines that a snapshot does not name, and returns their ids.
     fn remove_unlisted(&mut self, snapshot: &[Endpoint]) -> Vec<EngineId> {
-        let is_listed = |uid: &String| snapshot.iter().any(|endpoint| endpoint.uid == *uid);
+        let listed: BTreeSet<&str> = snapshot
+            .iter()
+            .map(|endpoint| endpoint.uid.as_str())
+            .collect();
         self.engines
-            .extract_if(.., |uid, _| !is_listed(uid))
+            .extract_if(.., |uid, _| !listed.contains(uid.as_str()))
             .map(|(_, engine)| engine.id)
             .collect()
     }
