Test of key rotation: every session logs in before the first key is replaced

Cause, by the lines: a session's thread reads the token that is in force when it starts, and the test replaces key and token without waiting for the threads. One that starts late, as beside load, logs in with a token whose key the gateway has not read yet, and is told to come later (Verifier: RetryLater), as it should be; renewals in the same test try again for that reason, the first login does not. The order was not forced.

Change: the first round waits until all sessions have logged in. Every check is as before.

--- a/crates/gateway/tests/identity.rs
+++ b/crates/gateway/tests/identity.rs
@@ -11,7 +11,7 @@
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{self, sleep};
 use std::time::Instant;
 
@@ -376,11 +376,13 @@
     let statement = || commented(5000, "SELECT 1 FROM ledger_1.bills LIMIT 1");
     let denied = std::sync::atomic::AtomicU32::new(0);
     let mut refusals = Vec::new();
+    let logins = AtomicUsize::new(0);
     let answered = thread::scope(|scope| {
         let session_thread = |_| {
             scope.spawn(|| {
                 let (mut answered, mut own) = (0, tokens.lock().unwrap().clone());
                 let mut session = site.login(gateway.listen, &own).unwrap();
+                logins.fetch_add(1, Ordering::Relaxed);
                 while !stop.load(Ordering::Relaxed) {
                     let next = tokens.lock().unwrap().clone();
                     if next != own {
@@ -411,6 +413,11 @@
             })
         };
         let traffic: Vec<_> = (0..sessions).map(session_thread).collect();
+        // A login with a token whose key the gateway has not read yet would be told to come later.
+        let give_up = Instant::now() + millis(20_000);
+        while logins.load(Ordering::Relaxed) < sessions && Instant::now() < give_up {
+            sleep(millis(5));
+        }
         for round in 2..rounds + 2 {
             let (old, new) = (format!("k{}", round - 1), format!("k{round}"));
             site.add_key(&new);
