One set-up for tests with an open statement, and a plain name for requests of tables

Need: bounded_turns.rs and spoilt_input.rs started a gateway, engine and statement by the same lines in three places, PACKETS_PER_TURN stood twice, and asks_for_table had a withdrawn word.

Change: support::clients::OpenStatement and support::PACKETS_PER_TURN; requests_table.

--- a/crates/gateway/src/clients/commands.rs
+++ b/crates/gateway/src/clients/commands.rs
@@ -101,7 +101,7 @@
             },
             Query::Statement => session.statement_event(id, now, text),
         };
-        if event.asks_for_table() {
+        if event.requests_table() {
             session.packet_budget.use_up(self.turn);
         }
         session.pending = PendingResponse::Request;
--- a/crates/gateway/src/clients/events.rs
+++ b/crates/gateway/src/clients/events.rs
@@ -84,7 +84,7 @@
 impl SessionEvent {
     /// Whether the answer is a table that may have hundreds of rows, which takes much longer than
     /// any other answer.
-    pub(super) fn asks_for_table(&self) -> bool {
+    pub(super) fn requests_table(&self) -> bool {
         match self {
             SessionEvent::ShowQueue { .. }
             | SessionEvent::ShowFleet { .. }
--- a/crates/gateway/tests/bounded_turns.rs
+++ b/crates/gateway/tests/bounded_turns.rs
@@ -12,15 +12,12 @@
 use serde_json::json;
 use stand_ins::client::{Client, packet, query_packet};
 use support::clients::{
-    LARGE_MEMORY_MB, allow_long_waits, fill_engine, local_addresses, send, tagged_statement,
-    terminate,
+    LARGE_MEMORY_MB, OpenStatement, allow_long_waits, fill_engine, local_addresses, send,
+    tagged_statement, terminate,
 };
 use support::script::{ScriptedEngine, wait_delivered};
 use support::*;
 
-/// How many packets of one session a turn may process: `MAX_PACKETS_PER_TURN` of the gateway.
-const PACKETS_PER_TURN: i64 = 16;
-
 /// How many requests each session sends while the gateway is suspended. They fit into the receive
 /// buffer of its kernel, so that all of them are there when it goes on.
 const REQUESTS: i64 = 320;
@@ -152,12 +149,13 @@
 /// Guards against an engine whose small responses, thousands in each read, keep a turn from ending.
 #[test]
 fn responses_of_an_engine_take_a_bounded_part_of_a_turn() {
-    let engine = ScriptedEngine::new();
-    let mut gateway = Gateway::with_config(&[engine.address], allow_long_waits);
-    let mut client = gateway.client();
-    send(&mut client, &tagged_statement(8, "SELECT 'behind'"));
-    let mut connection = engine.accept();
-    let received = connection.receive_statement();
+    let OpenStatement {
+        mut gateway,
+        mut client,
+        mut connection,
+        received,
+        ..
+    } = OpenStatement::start(|_| {});
     let turns_before = counter(&gateway.settle(), "turns");
     gateway.suspend();
     let responses = 2500;
@@ -177,20 +175,16 @@
 /// turn handles.
 #[test]
 fn responses_before_the_end_of_their_connection_count_in_a_later_turn() {
-    let engine = ScriptedEngine::new();
-    let mut gateway = Gateway::with_config(&[engine.address], allow_long_waits);
-    let mut client = gateway.client();
-    send(&mut client, &tagged_statement(8, "SELECT 'behind'"));
-    let mut connection = engine.accept();
-    let received = connection.receive_statement();
-    gateway.suspend();
-    connection.send(&"x FIT - 0\r\n\r\n".repeat(1000));
-    connection.complete(&received);
-    drop(connection);
-    gateway.resume();
-    assert_eq!(rows(client.answer().unwrap()).len(), 1);
-    gateway.settle();
-    let log = terminate(gateway);
+    let mut statement = OpenStatement::start(|_| {});
+    statement.gateway.suspend();
+    let others = "x FIT - 0\r\n\r\n".repeat(1000);
+    statement.connection.send(&others);
+    statement.connection.complete(&statement.received);
+    drop(statement.connection);
+    statement.gateway.resume();
+    assert_eq!(rows(statement.client.answer().unwrap()).len(), 1);
+    statement.gateway.settle();
+    let log = terminate(statement.gateway);
     assert_eq!(counter(&log, "attempts_sent"), 1, "{log}");
 }
 
--- a/crates/gateway/tests/identity.rs
+++ b/crates/gateway/tests/identity.rs
@@ -24,9 +24,6 @@
 use support::script::wait_delivered;
 use support::*;
 
-/// How many packets of one session a turn may process: `MAX_PACKETS_PER_TURN` of the gateway.
-const PACKETS_PER_TURN: i64 = 16;
-
 /// A folder with signing keys, a certificate and its private key, managed through the command line.
 /// The folder is removed when the value is dropped.
 struct TestSite {
--- a/crates/gateway/tests/spoilt_input.rs
+++ b/crates/gateway/tests/spoilt_input.rs
@@ -4,71 +4,44 @@
 mod support;
 
 use serde_json::json;
-use stand_ins::client::Client;
 use support::clients::*;
-use support::script::*;
 use support::*;
 
-/// A statement that an engine has received, and everything that is needed to answer it.
-struct OpenStatement {
-    gateway: Gateway,
-    engine: ScriptedEngine,
-    client: Client,
-    connection: EngineConnection,
-    received: ReceivedStatement,
+/// Starts a statement whose attempts the gateway may cancel.
+fn start() -> OpenStatement {
+    OpenStatement::start(|config| config["settings"]["Limits"]["Cancel"] = json!(true))
 }
 
-impl OpenStatement {
-    fn start() -> OpenStatement {
-        let engine = ScriptedEngine::new();
-        let gateway = Gateway::with_config(&[engine.address], |config| {
-            allow_long_waits(config);
-            config["settings"]["Limits"]["Cancel"] = json!(true);
-        });
-        let mut client = gateway.client();
-        send(&mut client, &tagged_statement(8, "SELECT 'spoilt'"));
-        let mut connection = engine.accept();
-        let received = connection.receive_statement();
-        OpenStatement {
-            gateway,
-            engine,
-            client,
-            connection,
-            received,
-        }
-    }
-
-    /// Returns an answer of this kind with these fields.
-    fn response(&self, kind: &str, fields: &str, page: &str) -> String {
-        let id = &self.received.id;
-        format!("{id} {kind} {fields} {}\r\n{page}\r\n", page.len())
-    }
+/// Returns an answer of this kind with these fields.
+fn response(statement: &OpenStatement, kind: &str, fields: &str, page: &str) -> String {
+    let id = &statement.received.id;
+    format!("{id} {kind} {fields} {}\r\n{page}\r\n", page.len())
+}
 
-    /// Sends an answer of this kind with these fields.
-    fn answer(&mut self, kind: &str, fields: &str, page: &str) {
-        let response = self.response(kind, fields, page);
-        self.connection.send(&response);
-    }
+/// Sends an answer of this kind with these fields.
+fn answer(statement: &mut OpenStatement, kind: &str, fields: &str, page: &str) {
+    let response = response(statement, kind, fields, page);
+    statement.connection.send(&response);
+}
 
-    /// Asserts that the gateway gives up the connection, sends the statement again on another one
-    /// and passes on the whole result from there.
-    fn assert_served_by_another_attempt(mut self, case: &str) {
-        while let Some(line) = self.connection.read_line() {
-            assert!(line.starts_with("page "), "{case}: {line}");
-        }
-        let mut again = self.engine.accept();
-        let received = again.receive_statement();
-        assert_eq!(received.id, self.received.id, "{case}");
-        // Both pages in one write: the second may not come later than 0.3 s after the first.
-        let id = &received.id;
-        again.send(&format!(
-            "{id} DONE total=2 8\r\n0\tone\tx\n\r\n{id} MORE index=1 8\r\n1\ttwo\tx\n\r\n"
-        ));
-        let rows = rows(self.client.answer().unwrap());
-        assert_eq!(rows, [["0", "one", "x"], ["1", "two", "x"]], "{case}");
-        let log = terminate(self.gateway);
-        assert_eq!(counter(&log, "answers_malformed"), 1, "{case}: {log}");
+/// Asserts that the gateway gives up the connection, sends the statement again on another one
+/// and passes on the whole result from there.
+fn assert_served_by_another_attempt(mut statement: OpenStatement, case: &str) {
+    while let Some(line) = statement.connection.read_line() {
+        assert!(line.starts_with("page "), "{case}: {line}");
     }
+    let mut again = statement.engine.accept();
+    let received = again.receive_statement();
+    assert_eq!(received.id, statement.received.id, "{case}");
+    // Both pages in one write: the second may not come later than 0.3 s after the first.
+    let id = &received.id;
+    again.send(&format!(
+        "{id} DONE total=2 8\r\n0\tone\tx\n\r\n{id} MORE index=1 8\r\n1\ttwo\tx\n\r\n"
+    ));
+    let rows = rows(statement.client.answer().unwrap());
+    assert_eq!(rows, [["0", "one", "x"], ["1", "two", "x"]], "{case}");
+    let log = terminate(statement.gateway);
+    assert_eq!(counter(&log, "answers_malformed"), 1, "{case}: {log}");
 }
 
 /// Guards against a first page that is passed on as the whole result because the number of pages
@@ -91,9 +64,9 @@
         "total=99999999999999999999",
     ];
     for_each_concurrently(&spoilt, |fields| {
-        let mut statement = OpenStatement::start();
-        statement.answer("DONE", fields, "0\tone\tx\n");
-        statement.assert_served_by_another_attempt(fields);
+        let mut statement = start();
+        answer(&mut statement, "DONE", fields, "0\tone\tx\n");
+        assert_served_by_another_attempt(statement, fields);
     });
 }
 
@@ -112,16 +85,16 @@
         "index=99999999999999999999",
     ];
     for_each_concurrently(&spoilt, |fields| {
-        let mut statement = OpenStatement::start();
+        let mut statement = start();
         // Were the spoilt page ignored, the others would complete the result.
         let pages = [
-            statement.response("DONE", "total=3", "0\tone\tx\n"),
-            statement.response("MORE", fields, "2\tthree\tx\n"),
-            statement.response("MORE", "index=1", "1\ttwo\tx\n"),
-            statement.response("MORE", "index=2", "2\tthree\tx\n"),
+            response(&statement, "DONE", "total=3", "0\tone\tx\n"),
+            response(&statement, "MORE", fields, "2\tthree\tx\n"),
+            response(&statement, "MORE", "index=1", "1\ttwo\tx\n"),
+            response(&statement, "MORE", "index=2", "2\tthree\tx\n"),
         ];
         statement.connection.send(&pages.concat());
-        statement.assert_served_by_another_attempt(fields);
+        assert_served_by_another_attempt(statement, fields);
     });
 }
 
@@ -137,8 +110,8 @@
         "total=1,elapsed=+2.5~rss=8",
     ];
     for_each_concurrently(&spoilt, |fields| {
-        let mut statement = OpenStatement::start();
-        statement.answer("DONE", fields, "0\tone\tx\n");
+        let mut statement = start();
+        answer(&mut statement, "DONE", fields, "0\tone\tx\n");
         let answer = statement.client.answer().unwrap();
         assert_eq!(rows(answer), [["0", "one", "x"]], "{fields}");
         let log = terminate(statement.gateway);
@@ -152,8 +125,13 @@
 fn a_share_of_the_work_that_is_out_of_range_cancels_no_attempt() {
     let spoilt = ["-0.5", "-.9", "+0.0001", "-1e300", "1.5", "NaN", "~.5", ""];
     for_each_concurrently(&spoilt, |datum| {
-        let mut statement = OpenStatement::start();
-        statement.answer("TELL", &format!("remark=done,datum={datum}"), "");
+        let mut statement = start();
+        answer(
+            &mut statement,
+            "TELL",
+            &format!("remark=done,datum={datum}"),
+            "",
+        );
         statement.gateway.settle();
         assert!(statement.connection.has_no_input(), "{datum}");
         statement.connection.complete(&statement.received);
@@ -166,8 +144,8 @@
 /// Shows that the test above sees a cancelled attempt: a share that is in range is used.
 #[test]
 fn a_share_of_the_work_that_is_in_range_cancels_a_runaway_attempt() {
-    let mut statement = OpenStatement::start();
-    statement.answer("TELL", "remark=done,datum=0.0001", "");
+    let mut statement = start();
+    answer(&mut statement, "TELL", "remark=done,datum=0.0001", "");
     let line = statement.connection.read_line();
     assert_eq!(line, Some(format!("undo {}", statement.received.id)));
     let mut again = statement.engine.accept();
--- a/crates/gateway/tests/support/clients.rs
+++ b/crates/gateway/tests/support/clients.rs
@@ -53,6 +53,37 @@
     wait_delivered(&[client.stream.local_addr().unwrap()]);
 }
 
+/// A statement that an engine has received, and everything that is needed to answer it.
+pub(crate) struct OpenStatement {
+    pub gateway: Gateway,
+    pub engine: ScriptedEngine,
+    pub client: Client,
+    pub connection: EngineConnection,
+    pub received: ReceivedStatement,
+}
+
+impl OpenStatement {
+    /// Starts a gateway with one engine, and sends a statement that ends only by what a test does.
+    pub(crate) fn start(change: impl FnOnce(&mut Value)) -> OpenStatement {
+        let engine = ScriptedEngine::new();
+        let gateway = Gateway::with_config(&[engine.address], |config| {
+            allow_long_waits(config);
+            change(config);
+        });
+        let mut client = gateway.client();
+        send(&mut client, &tagged_statement(8, "SELECT 'open'"));
+        let mut connection = engine.accept();
+        let received = connection.receive_statement();
+        OpenStatement {
+            gateway,
+            engine,
+            client,
+            connection,
+            received,
+        }
+    }
+}
+
 /// Returns the addresses by which the kernel knows these clients' ends of their connections.
 pub(crate) fn local_addresses(clients: &[Client]) -> Vec<SocketAddr> {
     let address = |client: &Client| client.stream.local_addr().unwrap();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -36,6 +36,9 @@
 /// The source of numbers that are unique within this process, for addresses, files and request ids.
 pub(crate) static NEXT_ID: AtomicU32 = AtomicU32::new(0);
 
+/// How many packets of one session a turn may process: `MAX_PACKETS_PER_TURN` of the gateway.
+pub(crate) const PACKETS_PER_TURN: i64 = 16;
+
 pub(crate) fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
