--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,45 +1,71 @@
 import os
+import signal
 import sys
+import threading
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
 
 from identity_site import Site
 from standins import CannotRun, ask, main, statement
 
-# What the caller may read: the groups 3 to 5. It sends these when it asks for more.
-BEYOND = [
-    "SELECT b.a, s.pay, s.c FROM ledger_3.bills b JOIN payroll_17.salaries s ON s.id = b.id",
-    "SELECT a, b, c FROM ledger_4.bills UNION ALL SELECT name, pay, c FROM payroll_17.salaries",
-    "INSERT INTO ledger_5.bills SELECT name, pay, c FROM payroll_17.salaries",
-    "SELECT a, (SELECT max(pay) FROM payroll_17.salaries), c FROM ledger_3.bills",
-]
-WITHIN = "SELECT a, b, c FROM ledger_{}.bills"
+# How much later than the index the new key's file arrives. The pages allow a key 30 s to arrive (grace_ms), and a start
+# tries a file that cannot be read for 25 s.
+KEY_ARRIVES_AFTER_S = 4.0
+READY_WITHIN_S = 30.0
+
+
+def served(run, site, token, name):
+    client = site.login(name, token)
+    if isinstance(client, int):
+        return False
+    _, text = statement("point", "SELECT a, b, c FROM ledger_3.bills")
+    return isinstance(ask(run, client, name, text), list)
 
 
 def case(run):
     site = Site(run)
     site.start()
-    token = site.token("k1", "counter-7", "--groups", "3-5")
-    client = site.login("counter-7", token)
-    if isinstance(client, int):
-        raise CannotRun("the caller could not log in")
-    for group in (3, 4, 5):
-        _, text = statement("point", WITHIN.format(group))
-        if not isinstance(ask(run, client, "counter-7", text), list):
-            raise CannotRun("a statement within the grant was not served")
-    # The grant is in force: a statement of group 17 alone is refused, with and without the trouble.
-    _, text = statement("point", "SELECT name, pay, c FROM payroll_17.salaries")
-    if ask(run, client, "counter-7", text) != 1142:
-        raise CannotRun("the grant is not in force")
+    token = site.token("k1", "counter-7")
+    if not served(run, site, token, "before the restart"):
+        raise CannotRun("the caller was not served before the restart")
+
+    # The operator announces a second key, and the folder is copied to the gateway, in both runs.
+    site.add_key("k2")
+    if not run.trouble:
+        site.copy_file("k2.pub")
+    site.copy_file("index.json")
+    copied_at = time.monotonic()
+    time.sleep(0.5)
+
+    # A planned restart, in both runs.
+    gateway = site.gateway
+    gateway.signal(signal.SIGTERM)
+    status = gateway.process.wait(timeout=20)
+    run.note(f"gateway g0: ended with status {status}")
     if run.trouble:
-        for text in BEYOND:
-            _, text = statement("point", text)
-            ask(run, client, "counter-7", text)
-    return [
-        f"an engine ran, for a caller that may read the groups 3 to 5: {text}"
-        for _, _, _, text in site.engine.ran
-        if "payroll_17" in text
-    ]
+        left_s = max(0.0, KEY_ARRIVES_AFTER_S - (time.monotonic() - copied_at))
+        threading.Timer(left_s, site.copy_file, ["k2.pub"]).start()
+    gateway.start()
+    started = time.monotonic()
+    violations = []
+    while time.monotonic() - started < READY_WITHIN_S:
+        status = gateway.process.poll()
+        if status is not None:
+            took_s = time.monotonic() - started
+            violations.append(f"the gateway refused to start: it ended with status {status} after {took_s:.2f} s")
+            break
+        try:
+            if served(run, site, token, "after the restart"):
+                return []
+        except OSError:
+            time.sleep(0.2)
+    for line in gateway.log().splitlines()[-2:]:
+        run.note(f"gateway g0 log: {line}")
+    if not violations:
+        violations.append(f"the caller with the old key was not served within {READY_WITHIN_S} s of the start")
+    time.sleep(max(0.0, KEY_ARRIVES_AFTER_S + 0.5 - (time.monotonic() - copied_at)))
+    return violations
 
 
 main(case)
